--- /dev/null
+++ b/crates/worksshunt-core/src/constants.rs
@@ -0,0 +1,169 @@
+//! Every constant of the service, with its unit and the reason for its value.
+//!
+//! Limits of a deployment are not here: they come from the settings file and the catalogue.
+
+/// Milliseconds between two decision rounds. Short against every aim, cheap when idle.
+pub const TICK_MS: u64 = 50;
+
+/// Milliseconds a decision round may take before it is put off to the next one. A quarter of a
+/// tick leaves the rest for answering requests.
+pub const ROUND_BUDGET_MS: u64 = 12;
+
+/// Milliseconds a member key outlives its controller's last renewal. Longer than the slowest
+/// answers of the state service (a few hundred ms) several times over; as short as that allows,
+/// because nobody takes over a dead controller's part before.
+pub const HOLD_TTL_MS: u64 = 4_000;
+
+/// Milliseconds between renewals of the hold: three can be lost.
+pub const RENEW_EVERY_MS: u64 = 1_000;
+
+/// Milliseconds between reads of the control keys, which find dead members and confirm the epoch.
+pub const CONTROL_EVERY_MS: u64 = 1_000;
+
+/// Milliseconds after sending a request that confirmed the epoch during which a controller may
+/// act. With the shortest worker lease seen (16 s) an outage of the state service of 20 s costs no
+/// lease, and a new owner waits no longer than this on top of the lease.
+pub const AUTHORITY_MS: u64 = 6_000;
+
+/// Milliseconds added to every lease computed here, for late timers.
+pub const LEASE_MARGIN_MS: u64 = 500;
+
+/// Share by which steady clocks may drift against each other (0.05%), doubled.
+pub const CLOCK_DRIFT: f64 = 0.001;
+
+/// Control reads in a row that must show a new member before an epoch admits it, so that a
+/// controller that keeps crashing does not cost an epoch each time.
+pub const ADMIT_AFTER_READS: u32 = 2;
+
+/// Milliseconds between exchanges of an owner with the leader when nothing presses.
+pub const SYNC_EVERY_MS: u64 = 250;
+
+/// Milliseconds between exchanges when something has changed.
+pub const SYNC_PRESSING_MS: u64 = 50;
+
+/// Milliseconds after which an exchange is given up and repeated.
+pub const SYNC_DEADLINE_MS: u64 = 1_000;
+
+/// Milliseconds after which a state service request counts as unanswered.
+pub const STORE_DEADLINE_MS: u64 = 1_500;
+
+/// Milliseconds a watch waits for a change.
+pub const FOLLOW_WAIT_MS: u64 = 10_000;
+
+/// Milliseconds to wait before a refused or unanswered state service request is repeated.
+pub const STORE_RETRY_MS: u64 = 300;
+
+/// Share of the state service's write limit that one controller uses on its own: the busiest of
+/// three may have half, and a 429 corrects the rest.
+pub const WRITE_SHARE: f64 = 0.45;
+
+/// Bytes of one transaction, kept below the state service's 64 KiB.
+pub const TXN_BYTES: usize = 48 * 1024;
+
+/// Milliseconds without an answer of the state service after which a controller is not healthy.
+/// Outages that all controllers share are mostly shorter, and a mass removal would outlast them.
+pub const HEALTH_STORE_MS: u64 = 12_000;
+
+/// Milliseconds without an answer of the state service after which user requests are refused at
+/// once rather than after a deadline.
+pub const STORE_SILENT_MS: u64 = 2_500;
+
+/// Seconds a refused user is asked to wait: the least the protocol knows.
+pub const RETRY_AFTER_S: u64 = 1;
+
+/// Bytes of a request body (protocol).
+pub const BODY_BYTES: usize = 64 * 1024;
+
+/// Tasks of a job (protocol).
+pub const MAX_TASKS: u32 = 100_000;
+
+/// Tasks per completion record: 2 KiB of bits, well inside the smallest value limit seen (8 KiB).
+pub const DONE_CHUNK: u32 = 16_384;
+
+/// Final job states kept in memory per controller; the rest is read from the store when asked.
+pub const FINALS_KEPT: usize = 10_000;
+
+/// User requests waiting for the state service; one more is refused at once.
+pub const USER_QUEUE: usize = 512;
+
+/// Milliseconds a removal may wait for another write of the same record.
+pub const LAZY_RECORD_MS: u64 = 5_000;
+
+/// Milliseconds a part may hold a task it finds no machine for before handing it back.
+pub const QUEUED_MS: u64 = 4_000;
+
+/// Report intervals without a report after which a machine gets no new tasks.
+pub const SILENT_REPORTS: f64 = 2.6;
+
+/// Speed window of the design, seconds (paper: lease after its preparation allowance).
+pub const SPEED_WINDOW_S: f64 = 120.0;
+
+/// Speed of a machine nothing is known of, seconds of estimated work per second held (design).
+pub const START_SPEED: f64 = 1.0;
+
+/// Weight of a new measurement in a machine's speed: four or five tasks outweigh the past.
+pub const SPEED_WEIGHT: f64 = 0.2;
+
+/// Upper bounds of the size bands for over-capacity placements, seconds of estimated work.
+pub const SIZE_BANDS_S: [f64; 4] = [60.0, 120.0, 240.0, 480.0];
+
+/// Milliseconds between two over-capacity summaries (design).
+pub const SUMMARY_EVERY_MS: u64 = 30_000;
+
+/// Milliseconds a task waits without any part having room before the leader claims a machine.
+pub const CLAIM_AFTER_MS: u64 = 3_000;
+
+/// Claims the leader holds at a time: enough to unblock wide tasks, few enough not to idle a fleet.
+pub const CLAIMS_AT_ONCE: usize = 4;
+
+/// Failures of a job after which its tasks wait between tries.
+pub const ERRORS_BEFORE_BACKOFF: u32 = 3;
+
+/// Milliseconds of the first wait of a failing job; doubled up to [`ERROR_BACKOFF_MAX_MS`].
+pub const ERROR_BACKOFF_MS: u64 = 2_000;
+
+/// Longest wait of a failing job, milliseconds.
+pub const ERROR_BACKOFF_MAX_MS: u64 = 60_000;
+
+/// Milliseconds between two looks at the fleet.
+pub const FLEET_EVERY_MS: u64 = 1_000;
+
+/// Milliseconds between two readings of the machine list.
+pub const LIST_EVERY_MS: u64 = 3_000;
+
+/// Milliseconds between two readings of the catalogue once it is known.
+pub const CATALOG_EVERY_MS: u64 = 120_000;
+
+/// Milliseconds before an unanswered or refused catalogue request is repeated.
+pub const CATALOG_RETRY_MS: u64 = 1_000;
+
+/// Milliseconds after which a cloud request counts as unanswered.
+pub const CLOUD_DEADLINE_MS: u64 = 4_000;
+
+/// Share of the cloud's request limit the leader uses.
+pub const CLOUD_SHARE: f64 = 0.8;
+
+/// Machines in one rental request (protocol).
+pub const RENT_MOST: u32 = 50;
+
+/// Machines in one return request (protocol).
+pub const RETURN_MOST: usize = 100;
+
+/// Seconds of work that justify renting one machine's worth of processors: near the 60 s that a
+/// machine costs at the least.
+pub const RENT_WORK_S: f64 = 60.0;
+
+/// Milliseconds a refused (type, zone, kind) is not asked for again.
+pub const RENT_REFUSED_MS: u64 = 15_000;
+
+/// Milliseconds a machine stays empty, with nothing waiting, before it is returned.
+pub const IDLE_RETURN_MS: u64 = 25_000;
+
+/// Times the nominal boot time after which a starting machine is given up ...
+pub const BOOT_FACTOR: f64 = 3.0;
+
+/// ... and seconds added to that.
+pub const BOOT_EXTRA_S: f64 = 20.0;
+
+/// Attempts numbered per epoch: an attempt's number is the epoch's times this plus a count.
+pub const ATTEMPTS_PER_EPOCH: u64 = 1 << 24;
--- /dev/null
+++ b/crates/worksshunt-core/src/fleet.rs
@@ -0,0 +1,488 @@
+//! Renting and returning machines. Only the leader does this.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use worksshunt_wire::cloud::{Catalog, ListedMachine, ListedState, MachineNames, RentRequest};
+use worksshunt_wire::peer::MachineUp;
+use worksshunt_wire::{Epoch, MachineId};
+
+use crate::allotment::Demand;
+use crate::constants::{
+    BOOT_EXTRA_S, BOOT_FACTOR, IDLE_RETURN_MS, RENT_MOST, RENT_REFUSED_MS, RENT_WORK_S, RETURN_MOST,
+};
+use crate::jobs::Job;
+use crate::placement::Room;
+use crate::time::Time;
+
+/// One kind of machine that can be rented.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Offer {
+    /// Machine type.
+    pub machine_type: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+}
+
+/// Where a rented machine stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// Rented, its worker not heard of.
+    Booting,
+    /// Its worker reports to some part.
+    Up,
+    /// Takes no new tasks, to be returned when it is empty.
+    Draining,
+    /// A return request has been sent.
+    Returning,
+}
+
+#[derive(Debug, Clone)]
+struct Tracked {
+    offer: Offer,
+    stage: Stage,
+    /// When it was rented or first seen.
+    since: Time,
+    /// When a part last described it.
+    heard: Option<Time>,
+    idle_since: Option<Time>,
+}
+
+impl Tracked {
+    /// The one place where a machine's stage changes.
+    fn step(&mut self, id: &MachineId, next: Stage) {
+        if self.stage != next {
+            tracing::debug!(machine = %id, from = ?self.stage, to = ?next, "machine");
+            self.stage = next;
+        }
+    }
+}
+
+/// A request the leader wants sent to the cloud.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CloudRequest {
+    /// Rent machines.
+    Rent(RentRequest),
+    /// Return machines.
+    Return(MachineNames),
+    /// Read the whole machine list.
+    List,
+    /// Read the catalogue.
+    Catalog,
+}
+
+/// The leader's view of the rented machines.
+#[derive(Debug)]
+pub struct Fleet {
+    epoch: Epoch,
+    requests: u64,
+    machines: BTreeMap<MachineId, Tracked>,
+    refused_until: BTreeMap<Offer, Time>,
+    /// The rental request under way; repeated under its name until it is answered.
+    renting: Option<RentRequest>,
+    rent_in_flight: bool,
+    return_in_flight: bool,
+    gone: BTreeMap<MachineId, Time>,
+    /// Nothing is rented before: machines rented by a former leader may not be listed yet.
+    rent_from: Time,
+    lag_ms: u64,
+}
+
+impl Fleet {
+    /// Starts at the start of an epoch.
+    pub fn new(epoch: Epoch, now: Time, list_lag_s: f64) -> Fleet {
+        let lag_ms = (list_lag_s * 1_000.0) as u64;
+        // The first epoch has no former leader.
+        let wait = if epoch.0 <= 1 { 0 } else { lag_ms };
+        Fleet {
+            epoch,
+            requests: 0,
+            machines: BTreeMap::new(),
+            refused_until: BTreeMap::new(),
+            renting: None,
+            rent_in_flight: false,
+            return_in_flight: false,
+            gone: BTreeMap::new(),
+            rent_from: now + wait,
+            lag_ms,
+        }
+    }
+
+    /// Takes in the machine list. Absence from it proves nothing for a while, so a machine that
+    /// is not listed is dropped only when it was not heard of either.
+    pub fn listed(&mut self, now: Time, list: &[ListedMachine]) {
+        for machine in list {
+            if self.gone.contains_key(&machine.id) {
+                continue;
+            }
+            let age_ms = (machine.age_s * 1_000.0) as u64;
+            let tracked = self
+                .machines
+                .entry(machine.id.clone())
+                .or_insert_with(|| Tracked {
+                    offer: Offer {
+                        machine_type: machine.machine_type.clone(),
+                        zone: machine.zone.clone(),
+                        spot: machine.spot,
+                    },
+                    stage: Stage::Booting,
+                    since: now - age_ms,
+                    heard: None,
+                    idle_since: None,
+                });
+            if machine.state == ListedState::Failed && tracked.stage != Stage::Returning {
+                tracing::info!(machine = %machine.id, "machine failed");
+                tracked.heard = None;
+                tracked.step(&machine.id, Stage::Draining);
+            }
+        }
+        let listed: BTreeSet<&MachineId> = list.iter().map(|m| &m.id).collect();
+        let patience = self.lag_ms * 3;
+        self.machines.retain(|id, tracked| {
+            let last = tracked.heard.unwrap_or(tracked.since);
+            listed.contains(id) || now.since(last) < patience
+        });
+        self.gone
+            .retain(|id, since| listed.contains(id) || now.since(*since) < patience);
+    }
+
+    /// Takes in what the parts say of their machines.
+    pub fn heard<'a>(&mut self, now: Time, machines: impl Iterator<Item = &'a MachineUp>) {
+        for up in machines {
+            if up.lost || self.gone.contains_key(&up.id) {
+                continue;
+            }
+            let tracked = self
+                .machines
+                .entry(up.id.clone())
+                .or_insert_with(|| Tracked {
+                    offer: Offer {
+                        machine_type: up.machine_type.clone(),
+                        zone: up.zone.clone(),
+                        spot: up.spot,
+                    },
+                    stage: Stage::Up,
+                    since: now,
+                    heard: Some(now),
+                    idle_since: None,
+                });
+            tracked.heard = Some(now);
+            if tracked.stage == Stage::Booting {
+                tracked.step(&up.id, Stage::Up);
+            }
+            if up.empty {
+                tracked.idle_since.get_or_insert(now);
+            } else {
+                tracked.idle_since = None;
+            }
+        }
+    }
+
+    /// Machines that take no new tasks.
+    pub fn drains(&self) -> Vec<MachineId> {
+        self.machines
+            .iter()
+            .filter(|(_, t)| matches!(t.stage, Stage::Draining | Stage::Returning))
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    /// Machines confirmed gone.
+    pub fn gone(&self) -> Vec<MachineId> {
+        self.gone.keys().cloned().collect()
+    }
+
+    /// Decides what to return and what to rent.
+    pub fn plan<'a>(
+        &mut self,
+        now: Time,
+        catalog: &Catalog,
+        rooms: impl Iterator<Item = (&'a MachineUp, &'a Room)>,
+        demand: &[Demand],
+    ) -> Vec<CloudRequest> {
+        let mut requests = Vec::new();
+        let rooms: Vec<(&MachineUp, Room)> = rooms.map(|(m, room)| (m, *room)).collect();
+        let left = self.unserved(catalog, &rooms, demand);
+        if let Some(names) = self.returns(now, catalog, &rooms, demand.is_empty()) {
+            self.return_in_flight = true;
+            requests.push(CloudRequest::Return(names));
+        }
+        if !self.rent_in_flight && now >= self.rent_from {
+            if self.renting.is_none() {
+                self.renting = self.rental(now, catalog, &left);
+            }
+            if let Some(request) = &self.renting {
+                tracing::info!(
+                    request = request.request,
+                    machine_type = request.machine_type,
+                    zone = request.zone,
+                    spot = request.spot,
+                    count = request.count,
+                    "renting"
+                );
+                self.rent_in_flight = true;
+                requests.push(CloudRequest::Rent(request.clone()));
+            }
+        }
+        requests
+    }
+
+    /// Demand that neither the free room nor the booting machines will serve.
+    fn unserved(
+        &self,
+        catalog: &Catalog,
+        rooms: &[(&MachineUp, Room)],
+        demand: &[Demand],
+    ) -> Vec<Demand> {
+        let mut supply: Vec<(Offer, Room)> = rooms
+            .iter()
+            .filter(|(m, _)| m.usable)
+            .map(|(m, room)| {
+                let offer = Offer {
+                    machine_type: m.machine_type.clone(),
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                };
+                (offer, *room)
+            })
+            .collect();
+        let booting = self.machines.values().filter(|t| t.stage == Stage::Booting);
+        supply.extend(booting.filter_map(|t| {
+            let room = Room::of_type(catalog.get(&t.offer.machine_type)?);
+            Some((t.offer.clone(), room))
+        }));
+        let mut left = Vec::new();
+        for wanted in demand {
+            let need = Room::of_job(&wanted.job);
+            let mut tasks = wanted.tasks;
+            for (offer, room) in &mut supply {
+                let allowed = allows(&wanted.job, wanted.zone.as_ref(), offer);
+                while tasks > 0 && allowed && room.holds(&need) {
+                    room.take(&need);
+                    tasks -= 1;
+                }
+            }
+            if tasks > 0 {
+                left.push(Demand {
+                    tasks,
+                    ..wanted.clone()
+                });
+            }
+        }
+        left
+    }
+
+    /// The next rental, for the kind of machine that most of the unserved demand wants.
+    fn rental(&mut self, now: Time, catalog: &Catalog, left: &[Demand]) -> Option<RentRequest> {
+        let mut wanted: BTreeMap<Offer, f64> = BTreeMap::new();
+        for demand in left {
+            let Some((offer, slots)) = self.best_offer(now, catalog, demand) else {
+                continue;
+            };
+            let tasks = f64::from(demand.tasks);
+            let by_slots = tasks / slots;
+            let by_work = by_slots * demand.job.spec.estimate_s / RENT_WORK_S;
+            *wanted.entry(offer).or_default() += by_slots.min(by_work);
+        }
+        let (offer, count) = wanted.into_iter().max_by(|(_, a), (_, b)| a.total_cmp(b))?;
+        self.requests += 1;
+        Some(RentRequest {
+            request: format!("e{}-{}", self.epoch, self.requests),
+            machine_type: offer.machine_type,
+            zone: offer.zone,
+            spot: offer.spot,
+            count: (count.ceil() as u32).clamp(1, RENT_MOST),
+        })
+    }
+
+    /// The cheapest kind of machine for the task that the cloud has not just refused, and how many
+    /// of the tasks it holds. Among equals, the zone with fewer machines.
+    fn best_offer(&self, now: Time, catalog: &Catalog, demand: &Demand) -> Option<(Offer, f64)> {
+        let need = Room::of_job(&demand.job);
+        let mut best: Option<(f64, usize, Offer, f64)> = None;
+        for t in &catalog.types {
+            let slots = slots(&Room::of_type(t), &need);
+            if slots < 1.0 {
+                continue;
+            }
+            for zone in &t.zones {
+                let kinds = [(true, t.spot_price), (false, Some(t.price))];
+                for (spot, price) in kinds {
+                    let Some(price) = price else { continue };
+                    let offer = Offer {
+                        machine_type: t.name.clone(),
+                        zone: zone.clone(),
+                        spot,
+                    };
+                    let refused = self.refused_until.get(&offer).is_some_and(|t| now < *t);
+                    if refused || !allows(&demand.job, demand.zone.as_ref(), &offer) {
+                        continue;
+                    }
+                    let in_zone = self
+                        .machines
+                        .values()
+                        .filter(|m| m.offer.zone == *zone)
+                        .count();
+                    let cost = price / slots;
+                    let better = best
+                        .as_ref()
+                        .is_none_or(|(c, n, _, _)| (cost, in_zone) < (*c, *n));
+                    if better {
+                        best = Some((cost, in_zone, offer, slots));
+                    }
+                }
+            }
+        }
+        best.map(|(_, _, offer, slots)| (offer, slots))
+    }
+
+    /// Machines to return now, after marking those that should drain.
+    fn returns(
+        &mut self,
+        now: Time,
+        catalog: &Catalog,
+        rooms: &[(&MachineUp, Room)],
+        nothing_waits: bool,
+    ) -> Option<MachineNames> {
+        let empty: BTreeSet<&MachineId> = rooms
+            .iter()
+            .filter(|(m, _)| m.empty && !m.usable)
+            .map(|(m, _)| &m.id)
+            .collect();
+        let mut names = Vec::new();
+        for (id, tracked) in &mut self.machines {
+            let idle = tracked
+                .idle_since
+                .is_some_and(|since| now.since(since) >= IDLE_RETURN_MS);
+            let boot_s = catalog
+                .get(&tracked.offer.machine_type)
+                .map_or(0.0, |t| t.boot_s);
+            let patience = ((boot_s * BOOT_FACTOR + BOOT_EXTRA_S) * 1_000.0) as u64;
+            let silent = now.since(tracked.heard.unwrap_or(tracked.since)) > patience;
+            match tracked.stage {
+                Stage::Up if idle && nothing_waits => tracked.step(id, Stage::Draining),
+                Stage::Booting | Stage::Up if silent => {
+                    tracing::info!(machine = %id, stage = ?tracked.stage, "machine is silent: returned");
+                    tracked.heard = None;
+                    tracked.step(id, Stage::Draining);
+                }
+                // Empty by its owner's word, given after it stopped taking tasks; or never heard of.
+                Stage::Draining if tracked.heard.is_none() || empty.contains(id) => {
+                    names.push(id.clone());
+                }
+                Stage::Returning if !self.return_in_flight => names.push(id.clone()),
+                _ => {}
+            }
+        }
+        names.truncate(RETURN_MOST);
+        if names.is_empty() || self.return_in_flight {
+            return None;
+        }
+        tracing::info!(machines = names.len(), "returning machines");
+        for id in &names {
+            if let Some(tracked) = self.machines.get_mut(id) {
+                tracked.step(id, Stage::Returning);
+            }
+        }
+        Some(MachineNames { machines: names })
+    }
+
+    /// A rental request was answered with machines.
+    pub fn rented(&mut self, now: Time, request: &str, names: &MachineNames) {
+        let Some(request) = self.answered(request) else {
+            return;
+        };
+        let offer = Offer {
+            machine_type: request.machine_type,
+            zone: request.zone,
+            spot: request.spot,
+        };
+        if (names.machines.len() as u32) < request.count {
+            self.refuse(now, offer.clone());
+        }
+        for id in &names.machines {
+            self.machines.entry(id.clone()).or_insert_with(|| Tracked {
+                offer: offer.clone(),
+                stage: Stage::Booting,
+                since: now,
+                heard: None,
+                idle_since: None,
+            });
+        }
+    }
+
+    /// A rental request was refused for want of machines.
+    pub fn rent_refused(&mut self, now: Time, request: &str) {
+        if let Some(request) = self.answered(request) {
+            self.refuse(
+                now,
+                Offer {
+                    machine_type: request.machine_type,
+                    zone: request.zone,
+                    spot: request.spot,
+                },
+            );
+        }
+    }
+
+    fn refuse(&mut self, now: Time, offer: Offer) {
+        tracing::info!(
+            machine_type = offer.machine_type,
+            zone = offer.zone,
+            spot = offer.spot,
+            "the cloud has no more of these for now"
+        );
+        self.refused_until.insert(offer, now + RENT_REFUSED_MS);
+    }
+
+    /// A rental request has no answer; it is repeated under its name.
+    pub fn rent_unanswered(&mut self, request: &str) {
+        if self.renting.as_ref().is_some_and(|r| r.request == request) {
+            self.rent_in_flight = false;
+        }
+    }
+
+    /// The request under way, if the answer is to that one and not to a former leader's.
+    fn answered(&mut self, request: &str) -> Option<RentRequest> {
+        let answered = self.renting.take_if(|r| r.request == request)?;
+        self.rent_in_flight = false;
+        Some(answered)
+    }
+
+    /// A return request was answered; on success the machines are gone.
+    pub fn returned(&mut self, now: Time, names: Option<&MachineNames>) {
+        self.return_in_flight = false;
+        if let Some(names) = names {
+            for id in &names.machines {
+                self.machines.remove(id);
+                self.gone.insert(id.clone(), now);
+            }
+        }
+    }
+
+    /// How many machines there are, booting ones included.
+    pub fn size(&self) -> usize {
+        self.machines.len()
+    }
+}
+
+fn allows(job: &Job, zone: Option<&String>, offer: &Offer) -> bool {
+    job.allows(&offer.machine_type, &offer.zone, offer.spot)
+        && zone.is_none_or(|zone| *zone == offer.zone)
+}
+
+/// How many tasks of that need a machine holds.
+fn slots(room: &Room, need: &Room) -> f64 {
+    let ratio = |all: f64, one: f64| {
+        if one > 0.0 {
+            (all / one + 1e-6).floor()
+        } else {
+            f64::INFINITY
+        }
+    };
+    ratio(room.cpus, need.cpus)
+        .min(ratio(room.gpus, need.gpus))
+        .min(ratio(room.memory_gb, need.memory_gb))
+        .min(1e6)
+}
--- /dev/null
+++ b/crates/worksshunt-core/src/jobs.rs
@@ -0,0 +1,443 @@
+//! Jobs: what is accepted, what every controller knows of the open ones, and which tasks are done.
+//!
+//! Keys in the state service: `j/ID` an open job, `f/ID` the final state of one that is over,
+//! `d/ID/CHUNK` the completed tasks of an open one.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::rc::Rc;
+
+use base64::engine::general_purpose::STANDARD_NO_PAD;
+use base64::Engine;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use worksshunt_wire::cloud::Catalog;
+use worksshunt_wire::settings::Team;
+use worksshunt_wire::state::{Changes, Listing, WatchEvent};
+use worksshunt_wire::user::{JobSpec, JobState};
+use worksshunt_wire::{JobId, Revision};
+
+use crate::constants::{DONE_CHUNK, FINALS_KEPT, MAX_TASKS};
+use crate::placement::Room;
+use crate::quota::Quota;
+
+/// Prefix of open jobs.
+pub const OPEN: &str = "j/";
+/// Prefix of final states.
+pub const FINAL: &str = "f/";
+/// Prefix of completion records.
+pub const DONE: &str = "d/";
+
+/// Key of an open job.
+pub fn open_key(id: JobId) -> String {
+    format!("{OPEN}{id}")
+}
+
+/// Key of a final state.
+pub fn final_key(id: JobId) -> String {
+    format!("{FINAL}{id}")
+}
+
+/// Key of a completion record.
+pub fn done_key(id: JobId, chunk: u32) -> String {
+    format!("{DONE}{id}/{chunk}")
+}
+
+/// Reads a key of the form `PREFIX ID`.
+fn id_of(key: &str, prefix: &str) -> Option<JobId> {
+    key.strip_prefix(prefix)?.parse().ok()
+}
+
+/// An accepted job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// What the user asked for.
+    #[serde(rename = "spec")]
+    pub spec: JobSpec,
+    /// When it was accepted, milliseconds since 1970.
+    #[serde(rename = "at")]
+    pub accepted_ms: u64,
+}
+
+impl Job {
+    /// When it should be complete, milliseconds since 1970.
+    pub fn due_ms(&self) -> Option<u64> {
+        let deadline = self.spec.deadline_s?;
+        Some(self.accepted_ms.saturating_add((deadline * 1_000.0) as u64))
+    }
+
+    /// Whether a machine of that type, zone and kind may run its tasks.
+    pub fn allows(&self, machine_type: &str, zone: &str, spot: bool) -> bool {
+        (!spot || self.spec.spot)
+            && self.spec.zone.as_ref().is_none_or(|z| z == zone)
+            && self
+                .spec
+                .machine_types
+                .as_ref()
+                .is_none_or(|types| types.iter().any(|t| t == machine_type))
+    }
+
+    /// Whether zones of its tasks depend on each other.
+    pub fn zones_matter(&self) -> bool {
+        self.spec.one_zone || self.spec.spread
+    }
+
+    /// Most tasks one zone may have.
+    pub fn zone_limit(&self) -> u32 {
+        if self.spec.spread {
+            self.spec.tasks.div_ceil(2)
+        } else {
+            self.spec.tasks
+        }
+    }
+}
+
+/// Why a submission is refused for good.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// It is malformed (400).
+    #[error("malformed: {0}")]
+    Malformed(String),
+    /// It can never run (422).
+    #[error("can never run: {0}")]
+    Impossible(String),
+}
+
+/// Reads a submission. The id is given along with the error where it can be read, because a known
+/// job is answered with its state whatever else the repeat contains.
+pub fn parse(body: &[u8]) -> Result<JobSpec, (Option<JobId>, Refusal)> {
+    let value: Value = serde_json::from_slice(body)
+        .map_err(|e| (None, Refusal::Malformed(format!("not JSON: {e}"))))?;
+    let id = value
+        .get("Ref")
+        .and_then(Value::as_str)
+        .and_then(|text| text.parse().ok());
+    let malformed = |text: String| (id, Refusal::Malformed(text));
+    if !value.is_object() {
+        return Err(malformed("not an object".into()));
+    }
+    let spec: JobSpec = serde_json::from_value(value).map_err(|e| malformed(e.to_string()))?;
+    let amounts = [
+        ("Cores", spec.cpus),
+        ("Gpus", spec.gpus),
+        ("RamGb", spec.memory_gb),
+        ("SizeGb", spec.image_gb),
+        ("CalculoS", spec.estimate_s),
+        ("RespaldoS", spec.checkpoint_s),
+        ("GuardadoS", spec.save_s),
+        ("EntregaS", spec.deadline_s.unwrap_or(0.0)),
+    ];
+    for (name, amount) in amounts {
+        if !amount.is_finite() || amount < 0.0 {
+            return Err(malformed(format!("{name} is not an amount")));
+        }
+    }
+    if spec.tasks == 0 || spec.tasks > MAX_TASKS {
+        return Err(malformed(format!("Piezas is not from 1 to {MAX_TASKS}")));
+    }
+    Ok(spec)
+}
+
+/// Whether the job could ever run here.
+pub fn check_possible(spec: &JobSpec, catalog: &Catalog, quota: &Quota) -> Result<(), Refusal> {
+    let impossible = |text: &str| Err(Refusal::Impossible(text.to_owned()));
+    let Some(team) = quota.team(&spec.team) else {
+        return impossible("unknown team");
+    };
+    let Team {
+        cpus_max, gpus_max, ..
+    } = team;
+    if spec.cpus > *cpus_max || spec.gpus > *gpus_max {
+        return impossible("one task needs more than the team's limit");
+    }
+    let need = Room {
+        cpus: spec.cpus,
+        gpus: spec.gpus,
+        memory_gb: spec.memory_gb,
+    };
+    let fits = catalog.types.iter().any(|t| {
+        Room::of_type(t).holds(&need)
+            && spec
+                .machine_types
+                .as_ref()
+                .is_none_or(|types| types.contains(&t.name))
+            && spec.zone.as_ref().is_none_or(|zone| t.zones.contains(zone))
+    });
+    if fits {
+        Ok(())
+    } else {
+        impossible("a task fits no allowed machine type")
+    }
+}
+
+/// An open job as the store has it.
+#[derive(Debug, Clone)]
+pub struct OpenJob {
+    /// The job.
+    pub job: Rc<Job>,
+    /// Revision of its key.
+    pub version: Revision,
+}
+
+/// What changed in the mirror.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MirrorChange {
+    /// A job was accepted.
+    Opened(JobId),
+    /// A job is over.
+    Closed(JobId),
+}
+
+/// A controller's copy of the open jobs, never newer than the store, and the final states it
+/// happened to learn.
+#[derive(Debug, Default)]
+pub struct Mirror {
+    open: BTreeMap<JobId, OpenJob>,
+    revision: Option<Revision>,
+    finals: HashMap<JobId, JobState>,
+    finals_order: VecDeque<JobId>,
+}
+
+impl Mirror {
+    /// Whether it has been read at all.
+    pub fn loaded(&self) -> bool {
+        self.revision.is_some()
+    }
+
+    /// Store revision it is known to be current at.
+    pub fn revision(&self) -> Option<Revision> {
+        self.revision
+    }
+
+    /// The store no longer has the changes since then: the jobs must be listed again. What was
+    /// known stays, so that the listing shows what has changed.
+    pub fn outdated(&mut self) {
+        self.revision = None;
+    }
+
+    /// An open job.
+    pub fn get(&self, id: JobId) -> Option<&OpenJob> {
+        self.open.get(&id)
+    }
+
+    /// All open jobs.
+    pub fn open(&self) -> impl Iterator<Item = (&JobId, &OpenJob)> {
+        self.open.iter()
+    }
+
+    /// A final state, if it is still in memory.
+    pub fn final_state(&self, id: JobId) -> Option<JobState> {
+        self.finals.get(&id).copied()
+    }
+
+    /// Remembers a final state. It never changes, so it may be kept and dropped at will.
+    pub fn remember_final(&mut self, id: JobId, state: JobState) {
+        if self.finals.insert(id, state).is_none() {
+            self.finals_order.push_back(id);
+            if self.finals_order.len() > FINALS_KEPT {
+                if let Some(oldest) = self.finals_order.pop_front() {
+                    self.finals.remove(&oldest);
+                }
+            }
+        }
+    }
+
+    /// Takes over a full listing of the open jobs.
+    pub fn load(&mut self, listing: &Listing) -> Vec<MirrorChange> {
+        let mut changes = Vec::new();
+        let listed: BTreeMap<JobId, OpenJob> = listing
+            .pairs
+            .iter()
+            .filter_map(|pair| {
+                let id = id_of(&pair.key, OPEN)?;
+                Some((id, read_open(id, &pair.value, pair.version)?))
+            })
+            .collect();
+        for id in self.open.keys().filter(|id| !listed.contains_key(id)) {
+            changes.push(MirrorChange::Closed(*id));
+        }
+        for id in listed.keys().filter(|id| !self.open.contains_key(id)) {
+            changes.push(MirrorChange::Opened(*id));
+        }
+        self.open = listed;
+        self.revision = Some(listing.revision);
+        changes
+    }
+
+    /// Applies a watch's answer. Answers may overlap and overtake each other: the version of each
+    /// key decides.
+    pub fn apply(&mut self, changes: &Changes) -> Vec<MirrorChange> {
+        let mut out = Vec::new();
+        let Some(revision) = self.revision else {
+            return out;
+        };
+        for event in &changes.events {
+            match event {
+                WatchEvent::Put {
+                    key,
+                    value,
+                    version,
+                } => {
+                    // An answer from before the last one must not bring back a closed job.
+                    if *version <= revision {
+                        continue;
+                    }
+                    if let Some(id) = id_of(key, OPEN) {
+                        if let Some(open) = read_open(id, value, *version) {
+                            if self.open.insert(id, open).is_none() {
+                                out.push(MirrorChange::Opened(id));
+                            }
+                        }
+                    }
+                }
+                WatchEvent::Delete { key, version } => {
+                    if *version <= revision {
+                        continue;
+                    }
+                    if let Some(id) = id_of(key, OPEN) {
+                        if self.open.remove(&id).is_some() {
+                            out.push(MirrorChange::Closed(id));
+                        }
+                    }
+                }
+            }
+        }
+        self.revision = Some(revision.max(changes.revision));
+        out
+    }
+}
+
+fn read_open(id: JobId, value: &Value, version: Revision) -> Option<OpenJob> {
+    match serde_json::from_value::<Job>(value.clone()) {
+        Ok(job) => Some(OpenJob {
+            job: Rc::new(job),
+            version,
+        }),
+        Err(error) => {
+            tracing::error!(job = %id, %error, "open job in the store cannot be read");
+            None
+        }
+    }
+}
+
+/// A final state as stored.
+pub fn final_value(state: JobState) -> Value {
+    serde_json::json!({ "state": state })
+}
+
+/// Reads a stored final state.
+pub fn read_final(value: &Value) -> Option<JobState> {
+    serde_json::from_value(value.get("state")?.clone()).ok()
+}
+
+/// The completed tasks of a job, and the zones they ran in where those matter.
+#[derive(Debug, Clone, Default)]
+pub struct DoneSet {
+    bits: Vec<u8>,
+    count: u32,
+    zones: BTreeMap<String, u32>,
+}
+
+/// A completion record as stored: bits of one chunk, base64, and with chunk 0 the zone counts.
+#[derive(Debug, Serialize, Deserialize)]
+struct DoneRecord {
+    bits: String,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    zones: BTreeMap<String, u32>,
+}
+
+impl DoneSet {
+    /// No task done yet.
+    pub fn new(tasks: u32) -> DoneSet {
+        DoneSet {
+            bits: vec![0; tasks.div_ceil(8) as usize],
+            count: 0,
+            zones: BTreeMap::new(),
+        }
+    }
+
+    /// Whether a task is done.
+    pub fn contains(&self, index: u32) -> bool {
+        self.bits
+            .get((index / 8) as usize)
+            .is_some_and(|byte| byte >> (index % 8) & 1 == 1)
+    }
+
+    /// Marks a task done; false if it was already, or does not exist.
+    pub fn insert(&mut self, index: u32) -> bool {
+        match self.bits.get_mut((index / 8) as usize) {
+            Some(byte) if *byte >> (index % 8) & 1 == 0 => {
+                *byte |= 1 << (index % 8);
+                self.count += 1;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Counts the zone a task was done in.
+    pub fn count_zone(&mut self, zone: &str) {
+        *self.zones.entry(zone.to_owned()).or_default() += 1;
+    }
+
+    /// Tasks done per zone, where counted.
+    pub fn zones(&self) -> &BTreeMap<String, u32> {
+        &self.zones
+    }
+
+    /// How many tasks are done.
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+
+    /// The chunk a task's bit is stored in.
+    pub fn chunk_of(index: u32) -> u32 {
+        index / DONE_CHUNK
+    }
+
+    /// How many chunks it is stored in.
+    pub fn chunks(&self) -> u32 {
+        (self.bits.len() as u32).div_ceil(DONE_CHUNK / 8).max(1)
+    }
+
+    fn range(&self, chunk: u32) -> std::ops::Range<usize> {
+        let bytes = (DONE_CHUNK / 8) as usize;
+        let start = (chunk as usize * bytes).min(self.bits.len());
+        start..(start + bytes).min(self.bits.len())
+    }
+
+    /// A chunk as stored.
+    pub fn record(&self, chunk: u32) -> Value {
+        let bits = STANDARD_NO_PAD.encode(&self.bits[self.range(chunk)]);
+        let mut record = serde_json::json!({ "bits": bits });
+        if chunk == 0 && !self.zones.is_empty() {
+            record["zones"] = serde_json::json!(self.zones);
+        }
+        record
+    }
+
+    /// Takes over a stored chunk.
+    pub fn load(&mut self, chunk: u32, value: &Value) -> bool {
+        let Ok(record) = serde_json::from_value::<DoneRecord>(value.clone()) else {
+            return false;
+        };
+        let Ok(bits) = STANDARD_NO_PAD.decode(record.bits) else {
+            return false;
+        };
+        let range = self.range(chunk);
+        if bits.len() != range.len() {
+            return false;
+        }
+        self.bits[range].copy_from_slice(&bits);
+        self.count = self.bits.iter().map(|byte| byte.count_ones()).sum();
+        if chunk == 0 {
+            self.zones = record.zones;
+        }
+        true
+    }
+}
+
+/// Splits a completion record's key into job and chunk.
+pub fn parse_done_key(key: &str) -> Option<(JobId, u32)> {
+    let (id, chunk) = key.strip_prefix(DONE)?.split_once('/')?;
+    Some((id.parse().ok()?, chunk.parse().ok()?))
+}
--- /dev/null
+++ b/crates/worksshunt-core/src/lib.rs
@@ -0,0 +1,16 @@
+//! Decisions of worksshunt.
+//!
+//! Events and the time go in, actions come out. Nothing in here does I/O, reads a clock of its own
+//! or draws random numbers.
+
+pub mod allotment;
+pub mod constants;
+pub mod controller;
+pub mod fleet;
+pub mod jobs;
+pub mod machines;
+pub mod membership;
+pub mod placement;
+pub mod quota;
+pub mod time;
+pub mod users;
--- /dev/null
+++ b/crates/worksshunt-core/src/membership.rs
@@ -0,0 +1,320 @@
+//! Membership, leadership and authority.
+//!
+//! `c/m/NAME` is a controller's member key, attached to a hold of the state service; `c/epoch` is
+//! the epoch: number, leader, members. A member is a name together with its hold, so a controller
+//! that restarts is another member. Whoever finds the leader's member key gone writes the next
+//! epoch, conditional on the present one.
+
+use serde::{Deserialize, Serialize};
+use worksshunt_wire::state::{Change, Condition, Listing, Txn};
+use worksshunt_wire::{Epoch, NodeName, Revision};
+
+use crate::constants::{ADMIT_AFTER_READS, AUTHORITY_MS};
+use crate::time::Time;
+
+/// Prefix of the control keys.
+pub const CONTROL: &str = "c/";
+/// Key of the epoch.
+pub const EPOCH: &str = "c/epoch";
+const MEMBERS: &str = "c/m/";
+
+/// Key of a controller's membership.
+pub fn member_key(name: &NodeName) -> String {
+    format!("{MEMBERS}{name}")
+}
+
+/// One life of a controller.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub name: NodeName,
+    /// The hold its member key is attached to.
+    pub hold: u64,
+}
+
+/// An epoch as stored.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EpochRecord {
+    /// Its number, which is the fencing token.
+    pub number: Epoch,
+    /// The leader.
+    pub leader: Member,
+    /// All members, the leader among them, by name.
+    pub members: Vec<Member>,
+}
+
+impl EpochRecord {
+    /// Names of the members.
+    pub fn names(&self) -> Vec<NodeName> {
+        self.members.iter().map(|m| m.name.clone()).collect()
+    }
+}
+
+/// Where a controller stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Has no hold.
+    Homeless,
+    /// Has a hold, but its member key is not known to be written.
+    Joining,
+    /// Has a member key, but the epoch does not name it.
+    Outside,
+    /// Is in the epoch and reads the records.
+    Loading,
+    /// Is in the epoch and acts.
+    Serving,
+}
+
+/// What a control read calls for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Finding {
+    /// Nothing new.
+    Steady,
+    /// The own member key is gone: join again.
+    Evicted,
+    /// There is another epoch than the one known.
+    NewEpoch,
+    /// The next epoch should be written.
+    Propose(Txn),
+}
+
+/// A controller's view of the membership.
+#[derive(Debug)]
+pub struct Membership {
+    me: NodeName,
+    standing: Standing,
+    hold: Option<u64>,
+    epoch: Option<(EpochRecord, Revision)>,
+    authority_until: Time,
+    /// Members seen alive but not in the epoch, with the reads in a row that showed them.
+    waiting: Vec<(Member, u32)>,
+}
+
+impl Membership {
+    /// A controller that has just started.
+    pub fn new(me: NodeName) -> Membership {
+        Membership {
+            me,
+            standing: Standing::Homeless,
+            hold: None,
+            epoch: None,
+            authority_until: Time::default(),
+            waiting: Vec::new(),
+        }
+    }
+
+    /// Its name.
+    pub fn me(&self) -> &NodeName {
+        &self.me
+    }
+
+    /// Where it stands.
+    pub fn standing(&self) -> Standing {
+        self.standing
+    }
+
+    /// Its hold.
+    pub fn hold(&self) -> Option<u64> {
+        self.hold
+    }
+
+    /// The epoch it knows.
+    pub fn epoch(&self) -> Option<&EpochRecord> {
+        self.epoch.as_ref().map(|(record, _)| record)
+    }
+
+    /// The token it acts under; 0 before any epoch is known.
+    pub fn token(&self) -> Epoch {
+        self.epoch().map_or(Epoch(0), |epoch| epoch.number)
+    }
+
+    /// The condition every write of this epoch carries.
+    pub fn condition(&self) -> Option<Condition> {
+        self.epoch.as_ref().map(|(_, version)| Condition {
+            key: EPOCH.to_owned(),
+            version: *version,
+        })
+    }
+
+    /// Whether it leads the epoch it knows.
+    pub fn leads(&self) -> bool {
+        self.in_epoch()
+            && self
+                .epoch()
+                .is_some_and(|epoch| epoch.leader.name == self.me)
+    }
+
+    fn in_epoch(&self) -> bool {
+        matches!(self.standing, Standing::Loading | Standing::Serving)
+    }
+
+    /// Whether it may act for the controllers now.
+    pub fn has_authority(&self, now: Time) -> bool {
+        self.standing == Standing::Serving && now < self.authority_until
+    }
+
+    /// A request sent at `sent` has confirmed that the epoch is still the one known.
+    pub fn confirmed(&mut self, sent: Time) {
+        if self.in_epoch() {
+            self.authority_until = self.authority_until.max(sent + AUTHORITY_MS);
+        }
+    }
+
+    /// The one place where the standing changes.
+    fn stand(&mut self, next: Standing) {
+        if self.standing != next {
+            tracing::info!(from = ?self.standing, to = ?next, epoch = %self.token(), "standing");
+            self.standing = next;
+        }
+        if !self.in_epoch() {
+            self.authority_until = Time::default();
+        }
+    }
+
+    /// A hold was granted.
+    pub fn granted(&mut self, hold: u64) {
+        self.hold = Some(hold);
+        self.stand(Standing::Joining);
+    }
+
+    /// The hold is gone, or its member key could not be written.
+    pub fn lost_hold(&mut self) {
+        self.hold = None;
+        self.stand(Standing::Homeless);
+    }
+
+    /// The transaction that writes the member key.
+    pub fn join_txn(&self) -> Option<Txn> {
+        let hold = self.hold?;
+        Some(Txn {
+            conditions: Vec::new(),
+            changes: vec![Change::Put {
+                key: member_key(&self.me),
+                value: serde_json::json!({ "hold": hold }),
+                hold: Some(hold),
+            }],
+        })
+    }
+
+    /// The member key is written.
+    pub fn joined(&mut self) {
+        if self.standing == Standing::Joining {
+            self.stand(Standing::Outside);
+        }
+    }
+
+    /// All records of the epoch are read.
+    pub fn loaded(&mut self) {
+        if self.standing == Standing::Loading {
+            self.stand(Standing::Serving);
+        }
+    }
+
+    fn member(&self) -> Option<Member> {
+        self.hold.map(|hold| Member {
+            name: self.me.clone(),
+            hold,
+        })
+    }
+
+    /// Takes in a read of all control keys that was sent at `sent`.
+    pub fn control_read(&mut self, sent: Time, listing: &Listing) -> Finding {
+        if matches!(self.standing, Standing::Homeless | Standing::Joining) {
+            return Finding::Steady;
+        }
+        let Some(me) = self.member() else {
+            return Finding::Steady;
+        };
+        let alive: Vec<Member> = listing
+            .pairs
+            .iter()
+            .filter_map(|pair| {
+                Some(Member {
+                    name: NodeName(pair.key.strip_prefix(MEMBERS)?.to_owned()),
+                    hold: pair.value.get("hold")?.as_u64()?,
+                })
+            })
+            .collect();
+        if !alive.contains(&me) {
+            return Finding::Evicted;
+        }
+        let stored = listing
+            .pairs
+            .iter()
+            .find(|pair| pair.key == EPOCH)
+            .and_then(|pair| {
+                let record: EpochRecord = serde_json::from_value(pair.value.clone()).ok()?;
+                Some((record, pair.version))
+            });
+        if let Some((record, version)) = stored {
+            let known = self.epoch.as_ref().map(|(_, version)| *version);
+            // A read that was overtaken by a later one must not bring back an old epoch.
+            if known.is_some_and(|known| version < known) {
+                return Finding::Steady;
+            }
+            if known != Some(version) {
+                tracing::info!(
+                    epoch = %record.number, leader = %record.leader.name,
+                    members = record.members.len(), "new epoch"
+                );
+                let member = record.members.contains(&me);
+                self.epoch = Some((record, version));
+                self.authority_until = Time::default();
+                // Loading starts anew in every epoch, also from Loading or Serving.
+                self.stand(if member {
+                    Standing::Loading
+                } else {
+                    Standing::Outside
+                });
+                self.confirmed(sent);
+                return Finding::NewEpoch;
+            }
+            self.confirmed(sent);
+        }
+        self.propose(&me, &alive)
+            .map_or(Finding::Steady, Finding::Propose)
+    }
+
+    /// The next epoch, if this controller should write it.
+    fn propose(&mut self, me: &Member, alive: &[Member]) -> Option<Txn> {
+        let (number, version, members) = match &self.epoch {
+            None => (Epoch(1), Revision(0), alive.to_vec()),
+            Some((epoch, version)) => {
+                let leader_alive = alive.contains(&epoch.leader);
+                if leader_alive && epoch.leader != *me {
+                    return None;
+                }
+                let present = &epoch.members;
+                let mut waiting = Vec::new();
+                for member in alive.iter().filter(|m| !present.contains(m)) {
+                    let seen = self.waiting.iter().find(|(m, _)| m == member);
+                    waiting.push((member.clone(), seen.map_or(1, |(_, reads)| reads + 1)));
+                }
+                self.waiting = waiting;
+                let gone = present.iter().any(|m| !alive.contains(m));
+                let admit = self.waiting.iter().any(|(_, n)| *n >= ADMIT_AFTER_READS);
+                if leader_alive && !gone && !admit {
+                    return None;
+                }
+                (Epoch(epoch.number.0 + 1), *version, alive.to_vec())
+            }
+        };
+        let record = EpochRecord {
+            number,
+            leader: me.clone(),
+            members,
+        };
+        let value = serde_json::to_value(record).ok()?;
+        Some(Txn {
+            conditions: vec![Condition {
+                key: EPOCH.to_owned(),
+                version,
+            }],
+            changes: vec![Change::Put {
+                key: EPOCH.to_owned(),
+                value,
+                hold: None,
+            }],
+        })
+    }
+}
--- /dev/null
+++ b/crates/worksshunt-core/src/placement.rs
@@ -0,0 +1,371 @@
+//! The design's ordinary path: the fullest capable machine takes the task, else any fitting one.
+//!
+//! See `docs/design.md` for what comes from the paper and what is ours.
+
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+
+use worksshunt_wire::cloud::MachineType;
+use worksshunt_wire::{MachineId, NodeName};
+
+use crate::constants::{SIZE_BANDS_S, SPEED_WEIGHT};
+use crate::jobs::Job;
+
+/// Slack for sums of decimal fractions.
+const ROUNDING: f64 = 1e-6;
+
+/// Resources of a machine or a task.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Room {
+    /// Processors.
+    pub cpus: f64,
+    /// Accelerators.
+    pub gpus: f64,
+    /// Memory, GB.
+    pub memory_gb: f64,
+}
+
+impl Room {
+    /// All of a machine type.
+    pub fn of_type(t: &MachineType) -> Room {
+        Room {
+            cpus: t.cpus,
+            gpus: t.gpus,
+            memory_gb: t.memory_gb,
+        }
+    }
+
+    /// What one task of the job takes.
+    pub fn of_job(job: &Job) -> Room {
+        Room {
+            cpus: job.spec.cpus,
+            gpus: job.spec.gpus,
+            memory_gb: job.spec.memory_gb,
+        }
+    }
+
+    /// Whether `need` fits in here.
+    pub fn holds(&self, need: &Room) -> bool {
+        need.cpus <= self.cpus + ROUNDING
+            && need.gpus <= self.gpus + ROUNDING
+            && need.memory_gb <= self.memory_gb + ROUNDING
+    }
+
+    /// Takes `need` out.
+    pub fn take(&mut self, need: &Room) {
+        self.cpus -= need.cpus;
+        self.gpus -= need.gpus;
+        self.memory_gb -= need.memory_gb;
+    }
+
+    /// Puts `back` in.
+    pub fn give_back(&mut self, back: &Room) {
+        self.cpus += back.cpus;
+        self.gpus += back.gpus;
+        self.memory_gb += back.memory_gb;
+    }
+}
+
+/// The design's open parameters.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Parameters {
+    /// Window that a capable machine finishes a task in, seconds.
+    pub window_s: f64,
+    /// Speed of an unmeasured machine.
+    pub start_speed: f64,
+    /// Upper bounds of the size bands, seconds of estimated work, ascending.
+    pub size_bands_s: Vec<f64>,
+    /// Milliseconds between over-capacity summaries.
+    pub summary_every_ms: u64,
+}
+
+impl Default for Parameters {
+    fn default() -> Parameters {
+        Parameters {
+            window_s: crate::constants::SPEED_WINDOW_S,
+            start_speed: crate::constants::START_SPEED,
+            size_bands_s: SIZE_BANDS_S.to_vec(),
+            summary_every_ms: crate::constants::SUMMARY_EVERY_MS,
+        }
+    }
+}
+
+impl Parameters {
+    /// Work a machine of that speed finishes within the window.
+    pub fn capacity(&self, speed: f64) -> f64 {
+        (speed * self.window_s).floor()
+    }
+
+    /// Index of the size band a task belongs to.
+    pub fn band(&self, estimate_s: f64) -> usize {
+        self.size_bands_s
+            .iter()
+            .position(|bound| estimate_s <= *bound)
+            .unwrap_or(self.size_bands_s.len())
+    }
+}
+
+/// A machine's measured speed: estimated work finished per second of held time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Speed(Option<f64>);
+
+impl Speed {
+    /// Nothing measured yet.
+    pub const UNMEASURED: Speed = Speed(None);
+
+    /// The speed to reckon with.
+    pub fn value(self, start: f64) -> f64 {
+        self.0.unwrap_or(start)
+    }
+
+    /// Learns from a completed task. A measurement replaces the assumed speed gradually.
+    pub fn learn(&mut self, estimate_s: f64, held_s: f64, start: f64) {
+        if held_s > 0.0 && estimate_s > 0.0 {
+            let before = self.value(start);
+            self.0 = Some(before + SPEED_WEIGHT * (estimate_s / held_s - before));
+        }
+    }
+}
+
+/// A machine that has room now for the task in question.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate<'a> {
+    /// The machine.
+    pub id: &'a MachineId,
+    /// Share of its resources that is taken, 0 to 1.
+    pub fullness: f64,
+    /// Its capacity, seconds of estimated work.
+    pub capacity: f64,
+}
+
+/// Where a task goes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    /// The machine.
+    pub machine: MachineId,
+    /// Whether the estimated work exceeds the machine's capacity.
+    pub over_capacity: bool,
+}
+
+/// Chooses the fullest capable machine, or the fullest fitting one when none is capable. Ties go
+/// to the first name.
+pub fn choose<'a>(
+    estimate_s: f64,
+    candidates: impl Iterator<Item = Candidate<'a>>,
+) -> Option<Choice> {
+    let mut best: Option<(bool, Candidate<'a>)> = None;
+    for candidate in candidates {
+        let capable = candidate.capacity >= estimate_s;
+        let better = match &best {
+            None => true,
+            Some((best_capable, best)) => {
+                (capable, candidate.fullness, std::cmp::Reverse(candidate.id))
+                    > (*best_capable, best.fullness, std::cmp::Reverse(best.id))
+            }
+        };
+        if better {
+            best = Some((capable, candidate));
+        }
+    }
+    best.map(|(capable, candidate)| Choice {
+        machine: candidate.id.clone(),
+        over_capacity: !capable,
+    })
+}
+
+/// How a marked placement ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Outcome {
+    /// The task completed.
+    Completed,
+    /// The task failed.
+    Faulted,
+    /// The task was stopped or its machine lost.
+    Aborted,
+}
+
+/// Counts of over-capacity placements since the last summary.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OverCapacity {
+    placed: BTreeMap<usize, u32>,
+    ended: BTreeMap<(usize, Outcome), u32>,
+}
+
+impl OverCapacity {
+    /// Counts a placement.
+    pub fn placed(&mut self, band: usize) {
+        *self.placed.entry(band).or_default() += 1;
+    }
+
+    /// Counts the end of a marked placement.
+    pub fn ended(&mut self, band: usize, outcome: Outcome) {
+        *self.ended.entry((band, outcome)).or_default() += 1;
+    }
+
+    /// One line about everything counted, after which counting starts anew.
+    pub fn summary(&mut self, parameters: &Parameters) -> String {
+        let name = |band: usize| match parameters.size_bands_s.get(band) {
+            Some(bound) => format!("<={bound}s"),
+            None => match parameters.size_bands_s.last() {
+                Some(bound) => format!(">{bound}s"),
+                None => "all".to_owned(),
+            },
+        };
+        let placed: Vec<String> = self
+            .placed
+            .iter()
+            .map(|(band, n)| format!("{} placed={n}", name(*band)))
+            .collect();
+        let ended: Vec<String> = self
+            .ended
+            .iter()
+            .map(|((band, outcome), n)| {
+                let outcome = match outcome {
+                    Outcome::Completed => "completed",
+                    Outcome::Faulted => "faulted",
+                    Outcome::Aborted => "aborted",
+                };
+                format!("{} {outcome}={n}", name(*band))
+            })
+            .collect();
+        *self = OverCapacity::default();
+        let all = [placed, ended].concat();
+        if all.is_empty() {
+            "none".to_owned()
+        } else {
+            all.join(", ")
+        }
+    }
+}
+
+/// The member a machine belongs to: rendezvous hashing, so that a change of members moves only
+/// the machines of those that left or came.
+pub fn owner<'a>(machine: &MachineId, members: &'a [NodeName]) -> Option<&'a NodeName> {
+    members.iter().max_by_key(|member| {
+        let mut hash = Fnv::default();
+        hash.write(machine.0.as_bytes());
+        hash.write(&[0]);
+        hash.write(member.0.as_bytes());
+        (mix(hash.finish()), *member)
+    })
+}
+
+/// FNV-1a: the split needs a hash that is the same in every process and release, which the
+/// standard library's default hasher does not promise.
+struct Fnv(u64);
+
+impl Default for Fnv {
+    fn default() -> Fnv {
+        Fnv(0xcbf2_9ce4_8422_2325)
+    }
+}
+
+impl Hasher for Fnv {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
+        }
+    }
+}
+
+/// Spreads a hash's low bits over all of it, without which names that differ only in their last
+/// letter would rank alike for every machine.
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn candidates(list: &[(&'static str, f64, f64)]) -> Vec<(MachineId, f64, f64)> {
+        list.iter()
+            .map(|(id, fullness, capacity)| (MachineId::from(*id), *fullness, *capacity))
+            .collect()
+    }
+
+    fn pick(estimate_s: f64, list: &[(&'static str, f64, f64)]) -> Option<Choice> {
+        let list = candidates(list);
+        choose(
+            estimate_s,
+            list.iter().map(|(id, fullness, capacity)| Candidate {
+                id,
+                fullness: *fullness,
+                capacity: *capacity,
+            }),
+        )
+    }
+
+    #[test]
+    fn the_fullest_capable_machine_takes_the_task() {
+        let choice = pick(
+            100.0,
+            &[("a", 0.9, 80.0), ("b", 0.2, 120.0), ("c", 0.5, 100.0)],
+        );
+        assert_eq!(
+            choice,
+            Some(Choice {
+                machine: "c".into(),
+                over_capacity: false
+            })
+        );
+    }
+
+    #[test]
+    fn with_none_capable_a_fitting_machine_takes_it_and_is_marked() {
+        let choice = pick(300.0, &[("a", 0.1, 120.0), ("b", 0.4, 60.0)]);
+        assert_eq!(
+            choice,
+            Some(Choice {
+                machine: "b".into(),
+                over_capacity: true
+            })
+        );
+        assert_eq!(pick(1.0, &[]), None);
+    }
+
+    #[test]
+    fn capacity_is_the_floor_of_speed_times_window() {
+        let parameters = Parameters::default();
+        assert_eq!(parameters.capacity(1.0), 120.0);
+        assert_eq!(parameters.capacity(0.5039), 60.0);
+    }
+
+    #[test]
+    fn the_summary_names_bands_and_outcomes_once() {
+        let parameters = Parameters::default();
+        let mut record = OverCapacity::default();
+        record.placed(parameters.band(130.0));
+        record.placed(parameters.band(9_000.0));
+        record.ended(parameters.band(130.0), Outcome::Completed);
+        assert_eq!(
+            record.summary(&parameters),
+            "<=240s placed=1, >480s placed=1, <=240s completed=1"
+        );
+        assert_eq!(record.summary(&parameters), "none");
+    }
+
+    #[test]
+    fn a_lost_member_moves_only_its_own_machines() {
+        let three: Vec<NodeName> = ["estiba-0", "estiba-1", "estiba-2"]
+            .map(NodeName::from)
+            .into();
+        let two = three[..2].to_vec();
+        let mut counts = BTreeMap::new();
+        for n in 0..300 {
+            let machine = MachineId(format!("i-{n:06}"));
+            let before = owner(&machine, &three).expect("a member");
+            *counts.entry(before.clone()).or_insert(0) += 1;
+            if *before != three[2] {
+                assert_eq!(owner(&machine, &two), Some(before));
+            }
+        }
+        assert!(counts.values().all(|n| *n > 60), "{counts:?}");
+    }
+}
--- /dev/null
+++ b/crates/worksshunt-core/src/time.rs
@@ -0,0 +1,88 @@
+//! Time as the decisions see it: milliseconds of the process's steady clock.
+
+use std::ops::{Add, Sub};
+
+/// A moment of the steady clock, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// Milliseconds since an earlier moment; 0 if that lies ahead.
+    pub fn since(self, earlier: Time) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+impl Add<u64> for Time {
+    type Output = Time;
+
+    fn add(self, ms: u64) -> Time {
+        Time(self.0.saturating_add(ms))
+    }
+}
+
+impl Sub<u64> for Time {
+    type Output = Time;
+
+    fn sub(self, ms: u64) -> Time {
+        Time(self.0.saturating_sub(ms))
+    }
+}
+
+/// A moment by both clocks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Now {
+    /// Steady clock.
+    pub steady: Time,
+    /// Time of day, milliseconds since 1970.
+    pub wall_ms: u64,
+}
+
+/// How long a round of decisions may still go on.
+pub struct Budget<'a> {
+    /// When it ends.
+    pub until: Time,
+    /// Reads the clock again.
+    pub clock: &'a dyn Fn() -> Time,
+}
+
+impl Budget<'_> {
+    /// Whether the time is used up.
+    pub fn spent(&self) -> bool {
+        (self.clock)() >= self.until
+    }
+}
+
+/// Tokens that come back at a steady rate.
+#[derive(Debug, Clone)]
+pub struct Bucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    at: Time,
+}
+
+impl Bucket {
+    /// A full bucket of `burst` tokens that regains `rate` a second.
+    pub fn new(rate: f64, burst: f64) -> Bucket {
+        Bucket {
+            rate,
+            burst,
+            level: burst,
+            at: Time::default(),
+        }
+    }
+
+    /// The whole tokens there are now.
+    pub fn available(&mut self, now: Time) -> usize {
+        let gained = now.since(self.at) as f64 / 1_000.0 * self.rate;
+        self.level = (self.level + gained).min(self.burst);
+        self.at = now;
+        self.level.max(0.0) as usize
+    }
+
+    /// Takes tokens, going into debt if need be.
+    pub fn take(&mut self, count: usize) {
+        self.level -= count as f64;
+    }
+}
--- /dev/null
+++ b/crates/worksshunt-net/src/cloud.rs
@@ -0,0 +1,108 @@
+//! Client of the cloud.
+
+use std::time::Duration;
+
+use http_types::Method;
+use serde::de::DeserializeOwned;
+use worksshunt_core::controller::CloudReply;
+use worksshunt_core::fleet::CloudRequest;
+use worksshunt_wire::cloud::MachineList;
+
+use crate::client::{CallError, HttpClient};
+
+/// Machines asked for in one page of the list (protocol).
+const PAGE: usize = 500;
+
+/// Carries out one request.
+pub async fn call(client: &HttpClient, request: &CloudRequest, deadline: Duration) -> CloudReply {
+    let result = match request {
+        CloudRequest::Catalog => {
+            get(client, "/catalog", deadline)
+                .await
+                .map(|answer| match answer {
+                    Some(catalog) => CloudReply::Catalog(catalog),
+                    None => CloudReply::Failed,
+                })
+        }
+        CloudRequest::List => list(client, deadline).await,
+        CloudRequest::Rent(rent) => {
+            post(
+                client,
+                "/machines",
+                serde_json::json!(rent).to_string(),
+                deadline,
+            )
+            .await
+        }
+        CloudRequest::Return(names) => {
+            let body = serde_json::json!(names).to_string();
+            post(client, "/machines/return", body, deadline)
+                .await
+                .map(|reply| match reply {
+                    // Only that it was done matters; the body says nothing more.
+                    CloudReply::Machines(_) => CloudReply::Machines(names.clone()),
+                    other => other,
+                })
+        }
+    };
+    result.unwrap_or_else(|error| {
+        tracing::debug!(%error, "cloud");
+        CloudReply::Failed
+    })
+}
+
+async fn get<T: DeserializeOwned>(
+    client: &HttpClient,
+    path: &str,
+    deadline: Duration,
+) -> Result<Option<T>, CallError> {
+    let (status, body) = client.call(Method::Get, path, None, deadline).await?;
+    if status != 200 {
+        tracing::debug!(status, path, "cloud");
+        return Ok(None);
+    }
+    Ok(serde_json::from_slice(&body).ok())
+}
+
+async fn post(
+    client: &HttpClient,
+    path: &str,
+    body: String,
+    deadline: Duration,
+) -> Result<CloudReply, CallError> {
+    let (status, body) = client
+        .call(Method::Post, path, Some(body), deadline)
+        .await?;
+    let capacity = body.windows(11).any(|part| part == b"no capacity");
+    Ok(match status {
+        200 => {
+            let names = serde_json::from_slice(&body).unwrap_or_default();
+            CloudReply::Machines(names)
+        }
+        503 if capacity => CloudReply::NoCapacity,
+        _ => {
+            tracing::debug!(status, path, "cloud");
+            CloudReply::Failed
+        }
+    })
+}
+
+async fn list(client: &HttpClient, deadline: Duration) -> Result<CloudReply, CallError> {
+    let mut all = MachineList::default();
+    loop {
+        let since = all
+            .machines
+            .last()
+            .map(|machine| format!("&Since={}", machine.id))
+            .unwrap_or_default();
+        let path = format!("/machines?Most={PAGE}{since}");
+        let Some(page) = get::<MachineList>(client, &path, deadline).await? else {
+            return Ok(CloudReply::Failed);
+        };
+        let more = page.more && !page.machines.is_empty();
+        all.machines.extend(page.machines);
+        if !more {
+            return Ok(CloudReply::List(all));
+        }
+    }
+}
--- /dev/null
+++ b/crates/worksshunt-net/src/peer.rs
@@ -0,0 +1,130 @@
+//! The link between controllers: borsh messages in frames of four bytes of length, little-endian.
+//! One exchange at a time on a connection.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Async;
+use borsh::{BorshDeserialize, BorshSerialize};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use worksshunt_wire::peer::{PeerAnswer, PeerRequest};
+
+use crate::client::CallError;
+use crate::{within, Executor};
+
+/// Longest frame taken, bytes: thousands of machines and attempts, far beyond one deployment.
+const FRAME_BYTES: usize = 4 * 1024 * 1024;
+
+async fn write_frame<T: BorshSerialize>(
+    stream: &mut (impl AsyncWrite + Unpin),
+    message: &T,
+) -> std::io::Result<()> {
+    let body = borsh::to_vec(message)?;
+    let length = u32::try_from(body.len()).map_err(|_| std::io::ErrorKind::InvalidInput)?;
+    let mut frame = Vec::with_capacity(body.len() + 4);
+    frame.extend_from_slice(&length.to_le_bytes());
+    frame.extend_from_slice(&body);
+    stream.write_all(&frame).await?;
+    stream.flush().await
+}
+
+async fn read_frame<T: BorshDeserialize>(
+    stream: &mut (impl AsyncRead + Unpin),
+) -> std::io::Result<T> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).await?;
+    let length = u32::from_le_bytes(length) as usize;
+    if length > FRAME_BYTES {
+        return Err(std::io::ErrorKind::InvalidData.into());
+    }
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await?;
+    borsh::from_slice(&body)
+}
+
+/// A client of one peer, with one connection.
+pub struct PeerClient {
+    addr: SocketAddr,
+    kept: RefCell<Option<Async<TcpStream>>>,
+}
+
+impl PeerClient {
+    /// A client of the peer at that address.
+    pub fn new(addr: SocketAddr) -> PeerClient {
+        PeerClient {
+            addr,
+            kept: RefCell::new(None),
+        }
+    }
+
+    /// Asks the peer. A call that fails or is late drops its connection, so that a late answer
+    /// can never be taken for that of another call.
+    pub async fn call(
+        &self,
+        request: &PeerRequest,
+        deadline: Duration,
+    ) -> Result<PeerAnswer, CallError> {
+        within(deadline, async {
+            let kept = self.kept.borrow_mut().take();
+            let mut stream = match kept {
+                Some(stream) => stream,
+                None => {
+                    let stream = Async::<TcpStream>::connect(self.addr)
+                        .await
+                        .map_err(CallError::Connect)?;
+                    let _ = stream.get_ref().set_nodelay(true);
+                    stream
+                }
+            };
+            let http = |error: std::io::Error| CallError::Http(error.to_string());
+            write_frame(&mut stream, request).await.map_err(http)?;
+            let answer = read_frame(&mut stream).await.map_err(http)?;
+            *self.kept.borrow_mut() = Some(stream);
+            Ok(answer)
+        })
+        .await?
+    }
+}
+
+/// What answers peers; none drops the connection.
+pub type PeerHandler = Rc<dyn Fn(PeerRequest) -> Pin<Box<dyn Future<Output = Option<PeerAnswer>>>>>;
+
+/// Accepts peers for ever.
+pub async fn serve(
+    executor: Rc<Executor>,
+    listener: Async<TcpListener>,
+    connections: usize,
+    handler: PeerHandler,
+) {
+    let open = Rc::new(std::cell::Cell::new(0usize));
+    loop {
+        let Ok((mut stream, from)) = listener.accept().await else {
+            async_io::Timer::after(Duration::from_millis(20)).await;
+            continue;
+        };
+        if open.get() >= connections {
+            continue;
+        }
+        let _ = stream.get_ref().set_nodelay(true);
+        open.set(open.get() + 1);
+        let (open, handler) = (Rc::clone(&open), Rc::clone(&handler));
+        executor
+            .spawn(async move {
+                while let Ok(request) = read_frame(&mut stream).await {
+                    let Some(answer) = handler(request).await else {
+                        break;
+                    };
+                    if write_frame(&mut stream, &answer).await.is_err() {
+                        break;
+                    }
+                }
+                tracing::debug!(%from, "peer connection ended");
+                open.set(open.get() - 1);
+            })
+            .detach();
+    }
+}
--- /dev/null
+++ b/crates/worksshunt-net/src/server.rs
@@ -0,0 +1,102 @@
+//! The HTTP server.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener};
+use std::pin::Pin;
+use std::rc::Rc;
+
+use async_io::Async;
+use futures_lite::AsyncReadExt;
+use http_types::{Method, Response, StatusCode};
+use worksshunt_core::constants::BODY_BYTES;
+use worksshunt_core::users::Reply;
+
+use crate::{Executor, Stream};
+
+/// A request as the service sees it.
+#[derive(Debug)]
+pub struct Incoming {
+    /// Method.
+    pub method: Method,
+    /// Path without query.
+    pub path: String,
+    /// Body; none if it is longer than allowed.
+    pub body: Option<Vec<u8>>,
+}
+
+/// What answers requests.
+pub type Handler = Rc<dyn Fn(Incoming) -> Pin<Box<dyn Future<Output = Reply>>>>;
+
+/// Accepts connections for ever, at most so many at a time.
+pub async fn serve(
+    executor: Rc<Executor>,
+    listener: Async<TcpListener>,
+    connections: usize,
+    handler: Handler,
+) {
+    let open = Rc::new(Cell::new(0usize));
+    loop {
+        let (stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                // Out of sockets, most likely: give connections time to close.
+                tracing::debug!(%error, "cannot accept a connection");
+                async_io::Timer::after(std::time::Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        if open.get() >= connections {
+            tracing::debug!(%from, "too many connections");
+            continue;
+        }
+        let _ = stream.get_ref().set_nodelay(true);
+        open.set(open.get() + 1);
+        let (open, handler) = (Rc::clone(&open), Rc::clone(&handler));
+        executor
+            .spawn(async move {
+                connection(Stream::new(stream), from, handler).await;
+                open.set(open.get() - 1);
+            })
+            .detach();
+    }
+}
+
+async fn connection(stream: Stream, from: SocketAddr, handler: Handler) {
+    let result = async_h1::accept(stream, |mut request| {
+        let handler = Rc::clone(&handler);
+        async move {
+            let mut body = Vec::new();
+            let declared = request.len().unwrap_or(0);
+            let mut limited = request.take_body().take(BODY_BYTES as u64 + 1);
+            limited.read_to_end(&mut body).await?;
+            let fits = declared <= BODY_BYTES && body.len() <= BODY_BYTES;
+            let reply = handler(Incoming {
+                method: request.method(),
+                path: request.url().path().to_owned(),
+                body: fits.then_some(body),
+            })
+            .await;
+            Ok(respond(reply, fits))
+        }
+    })
+    .await;
+    if let Err(error) = result {
+        tracing::debug!(%from, %error, "connection ended");
+    }
+}
+
+fn respond(reply: Reply, keep: bool) -> Response {
+    let status = StatusCode::try_from(reply.status).unwrap_or(StatusCode::InternalServerError);
+    let mut response = Response::new(status);
+    response.set_body(reply.body);
+    response.insert_header("Content-Type", "application/json");
+    if let Some(seconds) = reply.retry_after_s {
+        response.insert_header("Retry-After", seconds.to_string());
+    }
+    if !keep {
+        // The rest of an oversized body was not read.
+        response.insert_header("Connection", "close");
+    }
+    response
+}
--- /dev/null
+++ b/crates/worksshunt-net/src/state.rs
@@ -0,0 +1,166 @@
+//! Client of the state service: one call per operation, unclear outcomes named as such.
+
+use std::time::Duration;
+
+use http_types::Method;
+use serde::de::DeserializeOwned;
+use worksshunt_core::constants::HOLD_TTL_MS;
+use worksshunt_core::controller::{StoreOp, StoreReply};
+use worksshunt_wire::state::{
+    AtRevision, Changes, Conflict, Hold, HoldRequest, Listing, Pair, Txn,
+};
+
+use crate::client::{CallError, HttpClient};
+
+/// Keys asked for in one page of a listing (protocol).
+const PAGE: usize = 1_000;
+
+/// Carries out one operation.
+pub async fn call(client: &HttpClient, op: StoreOp, deadline: Duration) -> StoreReply {
+    let result = match op {
+        StoreOp::NewHold => new_hold(client, deadline).await,
+        StoreOp::Renew(hold) => renew(client, hold, deadline).await,
+        StoreOp::Get(key) => get(client, &key, deadline).await,
+        StoreOp::List(prefix) => list(client, &prefix, deadline).await,
+        StoreOp::Txn(txn) => transact(client, &txn, deadline).await,
+        StoreOp::Follow(prefix, since, wait_ms) => {
+            let path = format!("/follow?Starts={prefix}&Since={since}&WaitMs={wait_ms}");
+            follow(client, &path, deadline).await
+        }
+    };
+    result.unwrap_or_else(|error| {
+        tracing::debug!(%error, "state service");
+        match error {
+            // Never sent, so never executed.
+            CallError::Connect(_) => StoreReply::Refused,
+            CallError::Late(_) | CallError::Http(_) => StoreReply::Unknown,
+        }
+    })
+}
+
+fn read<T: DeserializeOwned>(body: &[u8], then: impl FnOnce(T) -> StoreReply) -> StoreReply {
+    match serde_json::from_slice(body) {
+        Ok(value) => then(value),
+        Err(error) => {
+            tracing::debug!(%error, "odd answer of the state service");
+            StoreReply::Unknown
+        }
+    }
+}
+
+fn other(status: u16) -> StoreReply {
+    match status {
+        429 | 503 => StoreReply::Refused,
+        _ => {
+            tracing::debug!(status, "odd status of the state service");
+            StoreReply::Unknown
+        }
+    }
+}
+
+async fn new_hold(client: &HttpClient, deadline: Duration) -> Result<StoreReply, CallError> {
+    let body = serde_json::json!(HoldRequest {
+        ttl_ms: HOLD_TTL_MS
+    });
+    let (status, body) = client
+        .call(Method::Post, "/holds", Some(body.to_string()), deadline)
+        .await?;
+    Ok(match status {
+        200 => read(&body, |hold: Hold| StoreReply::Hold(hold.hold)),
+        _ => other(status),
+    })
+}
+
+async fn renew(
+    client: &HttpClient,
+    hold: u64,
+    deadline: Duration,
+) -> Result<StoreReply, CallError> {
+    let path = format!("/holds/{hold}/renew");
+    let (status, _) = client.call(Method::Post, &path, None, deadline).await?;
+    Ok(match status {
+        200 => StoreReply::Renewed,
+        404 => StoreReply::NoSuchHold,
+        _ => other(status),
+    })
+}
+
+async fn get(client: &HttpClient, key: &str, deadline: Duration) -> Result<StoreReply, CallError> {
+    let path = format!("/kv/{key}");
+    let (status, body) = client.call(Method::Get, &path, None, deadline).await?;
+    Ok(match status {
+        200 => read(&body, StoreReply::Found),
+        404 => read(&body, |_: AtRevision| StoreReply::Missing),
+        _ => other(status),
+    })
+}
+
+async fn list(
+    client: &HttpClient,
+    prefix: &str,
+    deadline: Duration,
+) -> Result<StoreReply, CallError> {
+    let mut pairs: Vec<Pair> = Vec::new();
+    let mut first = None;
+    loop {
+        let since = pairs
+            .last()
+            .map(|pair| format!("&Since={}", pair.key))
+            .unwrap_or_default();
+        let path = format!("/kv?Starts={prefix}{since}&Most={PAGE}");
+        let (status, body) = client.call(Method::Get, &path, None, deadline).await?;
+        if status != 200 {
+            return Ok(other(status));
+        }
+        let Ok(page) = serde_json::from_slice::<Listing>(&body) else {
+            return Ok(StoreReply::Unknown);
+        };
+        let revision = *first.get_or_insert(page.revision);
+        let more = page.more && !page.pairs.is_empty();
+        pairs.extend(page.pairs);
+        if !more {
+            return Ok(StoreReply::Listing(Listing {
+                pairs,
+                more: false,
+                revision,
+            }));
+        }
+    }
+}
+
+async fn transact(
+    client: &HttpClient,
+    txn: &Txn,
+    deadline: Duration,
+) -> Result<StoreReply, CallError> {
+    let body = serde_json::json!(txn).to_string();
+    let (status, body) = client
+        .call(Method::Post, "/txn", Some(body), deadline)
+        .await?;
+    Ok(match status {
+        200 => read(&body, |at: AtRevision| StoreReply::Committed(at.revision)),
+        409 => read(&body, |conflict: Conflict| {
+            StoreReply::Conflict(conflict.failed)
+        }),
+        400 if body.windows(13).any(|part| part == b"no such lease") => StoreReply::NoSuchHold,
+        400 => {
+            let answer = String::from_utf8_lossy(&body);
+            tracing::error!(%answer, "the state service calls a transaction malformed");
+            StoreReply::Refused
+        }
+        _ => other(status),
+    })
+}
+
+async fn follow(
+    client: &HttpClient,
+    path: &str,
+    deadline: Duration,
+) -> Result<StoreReply, CallError> {
+    let (status, body) = client.call(Method::Get, path, None, deadline).await?;
+    Ok(match status {
+        200 => read(&body, |changes: Changes| StoreReply::Changes(changes)),
+        410 => StoreReply::TooOld,
+        _ => other(status),
+    })
+}
--- /dev/null
+++ b/crates/worksshunt-wire/src/cloud.rs
@@ -0,0 +1,126 @@
+//! The cloud's interface.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::MachineId;
+
+/// A machine type of the catalogue.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineType {
+    /// Its name.
+    #[serde(rename = "Name")]
+    pub name: String,
+    /// Processors.
+    #[serde(rename = "Cores")]
+    pub cpus: f64,
+    /// Accelerators.
+    #[serde(rename = "Gpus")]
+    pub gpus: f64,
+    /// Memory, GB.
+    #[serde(rename = "RamGb")]
+    pub memory_gb: f64,
+    /// Ordinary price per hour.
+    #[serde(rename = "Rate")]
+    pub price: f64,
+    /// Spot price per hour.
+    #[serde(rename = "LowPrice", default)]
+    pub spot_price: Option<f64>,
+    /// Nominal boot time, seconds.
+    #[serde(rename = "ReadyS")]
+    pub boot_s: f64,
+    /// Image fetch rate, GB per second.
+    #[serde(rename = "PullGbPerS", default)]
+    pub fetch_gb_per_s: f64,
+    /// Zones that offer it.
+    #[serde(rename = "Patios")]
+    pub zones: Vec<String>,
+}
+
+/// The catalogue.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Catalog {
+    /// All machine types.
+    #[serde(rename = "Modelos")]
+    pub types: Vec<MachineType>,
+}
+
+impl Catalog {
+    /// The type of that name.
+    pub fn get(&self, name: &str) -> Option<&MachineType> {
+        self.types.iter().find(|t| t.name == name)
+    }
+}
+
+/// A rental request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RentRequest {
+    /// Name of the request, never reused for another.
+    #[serde(rename = "Pedido")]
+    pub request: String,
+    /// Machine type.
+    #[serde(rename = "Modelo")]
+    pub machine_type: String,
+    /// Zone.
+    #[serde(rename = "Patio")]
+    pub zone: String,
+    /// Spot or ordinary.
+    #[serde(rename = "Prestados")]
+    pub spot: bool,
+    /// How many.
+    #[serde(rename = "Number")]
+    pub count: u32,
+}
+
+/// Names of machines: the answer to a rental, the body of a return.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct MachineNames {
+    /// The names.
+    #[serde(rename = "Estibas")]
+    pub machines: Vec<MachineId>,
+}
+
+/// What the cloud says of a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ListedState {
+    /// Booting.
+    Starting,
+    /// Up.
+    Running,
+    /// Stopped on its own.
+    Failed,
+}
+
+/// A machine in the cloud's list.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ListedMachine {
+    /// Its name.
+    #[serde(rename = "Ref")]
+    pub id: MachineId,
+    /// Machine type.
+    #[serde(rename = "Modelo")]
+    pub machine_type: String,
+    /// Zone.
+    #[serde(rename = "Patio")]
+    pub zone: String,
+    /// Spot or ordinary.
+    #[serde(rename = "Prestados")]
+    pub spot: bool,
+    /// State.
+    #[serde(rename = "Estado")]
+    pub state: ListedState,
+    /// Age since the rental request, seconds.
+    #[serde(rename = "AgeS")]
+    pub age_s: f64,
+}
+
+/// One page of the cloud's list.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct MachineList {
+    /// The machines, by name.
+    #[serde(rename = "Estibas")]
+    pub machines: Vec<ListedMachine>,
+    /// Whether more follow.
+    #[serde(rename = "More", default)]
+    pub more: bool,
+}
--- /dev/null
+++ b/crates/worksshunt-wire/src/peer.rs
@@ -0,0 +1,143 @@
+//! Messages between controllers, in borsh.
+//!
+//! A part's owner sends the leader the whole state of its part and receives what has changed for
+//! it. One exchange is in flight at a time, so a lost message is repaired by the next exchange.
+
+use borsh::{BorshDeserialize, BorshSerialize};
+
+use crate::ids::{Attempt, Epoch, JobId, MachineId, NodeName, TaskId};
+
+/// Where an attempt stands, as its owner knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Phase {
+    /// Handed to the part, not on a machine yet.
+    Queued,
+    /// On a machine, or on its way there.
+    Placed,
+    /// Seen running.
+    Running,
+    /// Completed; waiting to be made durable.
+    Completed,
+}
+
+/// One attempt held by a part.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct AttemptUp {
+    /// The task.
+    pub task: TaskId,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// Its machine, once chosen.
+    pub machine: Option<MachineId>,
+    /// Where it stands.
+    pub phase: Phase,
+    /// How long it has run, milliseconds.
+    pub ran_ms: u64,
+}
+
+/// One machine of a part.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct MachineUp {
+    /// Its name.
+    pub id: MachineId,
+    /// Its type.
+    pub machine_type: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+    /// Whether it may take tasks now.
+    pub usable: bool,
+    /// Whether nothing is, or may be, on it.
+    pub empty: bool,
+    /// Free processors.
+    pub cpus: f64,
+    /// Free accelerators.
+    pub gpus: f64,
+    /// Free memory, GB.
+    pub memory_gb: f64,
+    /// Whether the cloud gave notice to take it.
+    pub noticed: bool,
+    /// Whether the lease of its worker has certainly run out.
+    pub lost: bool,
+}
+
+/// How an attempt ended without completing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Failure {
+    /// It failed on its machine.
+    Error,
+    /// It was stopped, or its machine refused it.
+    Stopped,
+    /// Its machine was lost.
+    Lost,
+}
+
+/// A part's state, from its owner to the leader.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct SyncUp {
+    /// The epoch.
+    pub epoch: Epoch,
+    /// The owner.
+    pub from: NodeName,
+    /// Number of the last answer that the owner has acted on.
+    pub seen: u64,
+    /// All its machines.
+    pub machines: Vec<MachineUp>,
+    /// All its attempts.
+    pub attempts: Vec<AttemptUp>,
+    /// Attempts that ended without completing since the last answer.
+    pub failures: Vec<(TaskId, Attempt, MachineId, Failure)>,
+}
+
+/// A task handed to a part.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Give {
+    /// The task.
+    pub task: TaskId,
+    /// The attempt to make.
+    pub attempt: Attempt,
+    /// The zone it must use, where its job's other tasks decide that.
+    pub zone: Option<String>,
+    /// The machine it must use, where the leader has claimed one.
+    pub claimed: Option<MachineId>,
+}
+
+/// The leader's answer.
+#[derive(Debug, Clone, PartialEq, Default, BorshSerialize, BorshDeserialize)]
+pub struct SyncDown {
+    /// The epoch.
+    pub epoch: Epoch,
+    /// Number of this answer.
+    pub seq: u64,
+    /// New tasks.
+    pub gives: Vec<Give>,
+    /// Attempts to stop.
+    pub stops: Vec<Attempt>,
+    /// Attempts whose completion is durable.
+    pub durable: Vec<Attempt>,
+    /// Machines that take no new tasks: they are to be returned.
+    pub drains: Vec<MachineId>,
+    /// Machines claimed for a task no part could hold: they take nothing else.
+    pub claims: Vec<MachineId>,
+    /// Machines the cloud has confirmed gone.
+    pub gone: Vec<MachineId>,
+    /// Progress of open jobs: done and running tasks, for display.
+    pub progress: Vec<(JobId, u32, u32)>,
+}
+
+/// A message on the peer link.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub enum PeerRequest {
+    /// A part's state.
+    Sync(SyncUp),
+}
+
+/// An answer on the peer link.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub enum PeerAnswer {
+    /// The leader's answer.
+    Sync(SyncDown),
+    /// Not the leader of that epoch.
+    NotLeader,
+}
--- /dev/null
+++ b/crates/worksshunt-wire/src/settings.rs
@@ -0,0 +1,114 @@
+//! The settings file the platform hands over.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{NodeName, TeamName};
+
+/// Settings of one controller. Unknown fields are ignored.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Settings {
+    /// This controller's name.
+    pub host_name: NodeName,
+    /// Its zone.
+    pub site: String,
+    /// Where users, workers and health checks connect.
+    pub client_listen: String,
+    /// Where the other controllers connect.
+    pub internal_addr: String,
+    /// The other controllers.
+    pub known: Vec<Peer>,
+    /// Addresses of cloud and state service.
+    pub services: Services,
+    /// Facts of the deployment.
+    pub facts: Facts,
+}
+
+/// Another controller.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Peer {
+    /// Its name.
+    pub host_name: NodeName,
+    /// Its zone.
+    pub site: String,
+    /// Its internal address.
+    pub endpoint: String,
+}
+
+/// Addresses of the outside services.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Services {
+    /// The cloud.
+    pub cloud: String,
+    /// The state service.
+    pub state: String,
+}
+
+/// Facts of the deployment.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Facts {
+    /// Teams.
+    pub teams: Vec<Team>,
+    /// Workers' rhythm.
+    pub workers: Workers,
+    /// Limits of the state service.
+    pub state: StateLimits,
+    /// Limits of the cloud.
+    pub cloud: CloudLimits,
+    /// Limits of the process.
+    pub limits: ProcessLimits,
+}
+
+/// A team's guarantee and limit.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Team {
+    /// Its name.
+    pub name: TeamName,
+    /// Guaranteed processors.
+    pub cpus: f64,
+    /// Most processors.
+    pub cpus_max: f64,
+    /// Guaranteed accelerators.
+    pub gpus: f64,
+    /// Most accelerators.
+    pub gpus_max: f64,
+}
+
+/// Workers' rhythm.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Workers {
+    /// Interval of reports, seconds.
+    pub report_s: f64,
+    /// Lease, seconds.
+    pub lease_s: f64,
+    /// Time by which a cancelled job's tasks must be gone, seconds.
+    pub cancel_s: f64,
+}
+
+/// Limits of the state service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StateLimits {
+    /// Requests per second.
+    pub rps: f64,
+    /// Changes per second.
+    pub write_rps: f64,
+    /// Largest value, KiB.
+    pub value_kb: f64,
+    /// Changes per transaction.
+    pub txn_ops: usize,
+}
+
+/// Limits of the cloud.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CloudLimits {
+    /// Requests per second.
+    pub rps: f64,
+    /// How late the machine list is, seconds.
+    pub list_lag_s: f64,
+}
+
+/// Limits of the process.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ProcessLimits {
+    /// Sockets it may have.
+    pub sockets: usize,
+}
--- /dev/null
+++ b/crates/worksshunt-wire/src/state.rs
@@ -0,0 +1,158 @@
+//! The state service's interface.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::ids::Revision;
+
+/// A key with its value.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Pair {
+    /// The key.
+    #[serde(rename = "K")]
+    pub key: String,
+    /// The value.
+    #[serde(rename = "V")]
+    pub value: Value,
+    /// Revision of its last change.
+    #[serde(rename = "Sello")]
+    pub version: Revision,
+}
+
+/// One page of a listing.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Listing {
+    /// The keys, in order.
+    #[serde(rename = "Pairs")]
+    pub pairs: Vec<Pair>,
+    /// Whether more follow.
+    #[serde(rename = "More", default)]
+    pub more: bool,
+    /// The store's revision.
+    #[serde(rename = "Corte")]
+    pub revision: Revision,
+}
+
+/// A condition of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Condition {
+    /// The key.
+    #[serde(rename = "K")]
+    pub key: String,
+    /// The version it must have; 0: it must not exist.
+    #[serde(rename = "Sello")]
+    pub version: Revision,
+}
+
+/// A change of a transaction.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Change {
+    /// Set a key.
+    Put {
+        /// The key.
+        #[serde(rename = "Set")]
+        key: String,
+        /// Its new value.
+        #[serde(rename = "V")]
+        value: Value,
+        /// The hold it is attached to.
+        #[serde(rename = "Permiso", skip_serializing_if = "Option::is_none", default)]
+        hold: Option<u64>,
+    },
+    /// Remove a key.
+    Delete {
+        /// The key.
+        #[serde(rename = "Remove")]
+        key: String,
+    },
+}
+
+impl Change {
+    /// The key that is changed.
+    pub fn key(&self) -> &str {
+        match self {
+            Change::Put { key, .. } | Change::Delete { key } => key,
+        }
+    }
+}
+
+/// A transaction.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Txn {
+    /// Conditions.
+    #[serde(rename = "If")]
+    pub conditions: Vec<Condition>,
+    /// Changes.
+    #[serde(rename = "Then")]
+    pub changes: Vec<Change>,
+}
+
+/// The store's revision after a transaction, or with a missing key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AtRevision {
+    /// The revision.
+    #[serde(rename = "Corte")]
+    pub revision: Revision,
+}
+
+/// A transaction whose conditions did not hold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Conflict {
+    /// The keys that differed.
+    pub failed: Vec<String>,
+}
+
+/// Asks for a hold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HoldRequest {
+    /// Time to live, milliseconds.
+    #[serde(rename = "TtlMs")]
+    pub ttl_ms: u64,
+}
+
+/// A hold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hold {
+    /// Its id.
+    #[serde(rename = "Permiso")]
+    pub hold: u64,
+}
+
+/// One event of a watch.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum WatchEvent {
+    /// A key was set.
+    Put {
+        /// The key.
+        #[serde(rename = "Set")]
+        key: String,
+        /// Its value.
+        #[serde(rename = "V")]
+        value: Value,
+        /// Revision of the change.
+        #[serde(rename = "Sello")]
+        version: Revision,
+    },
+    /// A key was removed.
+    Delete {
+        /// The key.
+        #[serde(rename = "Remove")]
+        key: String,
+        /// Revision of the change.
+        #[serde(rename = "Sello")]
+        version: Revision,
+    },
+}
+
+/// Answer of a watch.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Changes {
+    /// The store's revision.
+    #[serde(rename = "Corte")]
+    pub revision: Revision,
+    /// What changed.
+    #[serde(rename = "Events", default)]
+    pub events: Vec<WatchEvent>,
+}
--- /dev/null
+++ b/crates/worksshunt-wire/src/worker.rs
@@ -0,0 +1,166 @@
+//! Workers' interface: reports and commands.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{Attempt, Epoch, MachineId, NodeName, Session, TaskId};
+
+/// State of a task on a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum TaskState {
+    /// Waiting for its image.
+    Fetching,
+    /// Running.
+    Running,
+    /// Told to stop, saving its progress.
+    Saving,
+    /// Over; see [`ExitReason`].
+    Ended,
+}
+
+/// Why a task ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ExitReason {
+    /// Completed.
+    #[serde(rename = "done")]
+    Done,
+    /// Stopped by command.
+    #[serde(rename = "stopped")]
+    Stopped,
+    /// Failed.
+    #[serde(rename = "error")]
+    Error,
+    /// Refused: no room.
+    #[serde(rename = "full")]
+    NoRoom,
+    /// Refused: the task is there with another attempt.
+    #[serde(rename = "busy")]
+    Busy,
+    /// Refused: no such job or task.
+    #[serde(rename = "no_such")]
+    Unknown,
+}
+
+/// One task in a worker's report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReportedTask {
+    /// The task.
+    #[serde(rename = "Pieza")]
+    pub task: TaskId,
+    /// Its attempt.
+    #[serde(rename = "Intento")]
+    pub attempt: Attempt,
+    /// Its state.
+    #[serde(rename = "Estado")]
+    pub state: TaskState,
+    /// Why it ended.
+    #[serde(rename = "Motivo", default, skip_serializing_if = "Option::is_none")]
+    pub reason: Option<ExitReason>,
+    /// Whether its progress was saved when it was stopped.
+    #[serde(rename = "Saved", default, skip_serializing_if = "Option::is_none")]
+    pub saved: Option<bool>,
+}
+
+/// A worker's report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The machine.
+    #[serde(rename = "Estiba")]
+    pub machine: MachineId,
+    /// Where the worker takes direct commands.
+    #[serde(rename = "Addr")]
+    pub addr: String,
+    /// Machine type.
+    #[serde(rename = "Modelo")]
+    pub machine_type: String,
+    /// Zone.
+    #[serde(rename = "Patio")]
+    pub zone: String,
+    /// Whether it is a spot machine.
+    #[serde(rename = "Prestados")]
+    pub spot: bool,
+    /// Session.
+    #[serde(rename = "Jornada")]
+    pub session: Session,
+    /// Sequence number within the session.
+    #[serde(rename = "Folio")]
+    pub seq: u64,
+    /// Highest fencing token seen.
+    #[serde(rename = "Vara")]
+    pub token: Epoch,
+    /// Seconds until the cloud takes the machine.
+    #[serde(rename = "AvisoS", default)]
+    pub notice_s: Option<f64>,
+    /// All tasks on the machine.
+    #[serde(rename = "Piezas")]
+    pub tasks: Vec<ReportedTask>,
+}
+
+/// A command to a worker.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "Orden", rename_all = "lowercase")]
+pub enum Command {
+    /// Start an attempt.
+    Launch {
+        /// The task.
+        #[serde(rename = "Pieza")]
+        task: TaskId,
+        /// The attempt.
+        #[serde(rename = "Intento")]
+        attempt: Attempt,
+    },
+    /// Stop an attempt.
+    Halt {
+        /// The task.
+        #[serde(rename = "Pieza")]
+        task: TaskId,
+        /// The attempt.
+        #[serde(rename = "Intento")]
+        attempt: Attempt,
+        /// Time allowed for saving, seconds.
+        #[serde(rename = "GraciaS")]
+        grace_s: f64,
+    },
+    /// Remove an ended attempt from the reports.
+    Reap {
+        /// The task.
+        #[serde(rename = "Pieza")]
+        task: TaskId,
+        /// The attempt.
+        #[serde(rename = "Intento")]
+        attempt: Attempt,
+    },
+}
+
+/// Answer to a report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReportAnswer {
+    /// Fencing token.
+    #[serde(rename = "Vara")]
+    pub token: Epoch,
+    /// Commands, executed in order.
+    #[serde(rename = "Ordenes")]
+    pub commands: Vec<Command>,
+}
+
+/// Commands sent straight to a worker.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Orders {
+    /// Fencing token.
+    #[serde(rename = "Vara")]
+    pub token: Epoch,
+    /// The session they are for.
+    #[serde(rename = "Jornada")]
+    pub session: Session,
+    /// Commands, executed in order.
+    #[serde(rename = "Ordenes")]
+    pub commands: Vec<Command>,
+}
+
+/// Tells a worker which node to report to.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Redirect {
+    /// The node, if known.
+    #[serde(rename = "Capataz", skip_serializing_if = "Option::is_none")]
+    pub report_to: Option<NodeName>,
+}
--- /dev/null
+++ b/crates/worksshunt/src/service.rs
@@ -0,0 +1,294 @@
+//! Wires a controller to the network: events in, actions out.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use async_channel::Sender;
+use async_io::{Async, Timer};
+use http_types::Method;
+use worksshunt_core::constants::{CLOUD_DEADLINE_MS, SYNC_DEADLINE_MS, TICK_MS};
+use worksshunt_core::controller::{Action, Controller, Event};
+use worksshunt_core::placement::Parameters;
+use worksshunt_core::time::{Now, Time};
+use worksshunt_core::users::{Reply, RequestId};
+use worksshunt_net::client::HttpClient;
+use worksshunt_net::peer::PeerClient;
+use worksshunt_net::server::Incoming;
+use worksshunt_net::{cloud, peer, server, state, Executor};
+use worksshunt_wire::peer::{PeerAnswer, PeerRequest};
+use worksshunt_wire::settings::Settings;
+use worksshunt_wire::NodeName;
+
+/// Connections to the state service: the long watch, the batch under way, renewal, control read,
+/// and room for users' reads.
+const STATE_CONNECTIONS: usize = 16;
+/// Connections to the cloud: list, rental, return, catalogue.
+const CLOUD_CONNECTIONS: usize = 4;
+/// Connections taken from peers: each has one, and may leave a dead one behind.
+const PEER_CONNECTIONS: usize = 16;
+/// Sockets kept back from users and workers.
+const OWN_SOCKETS: usize = STATE_CONNECTIONS + CLOUD_CONNECTIONS + PEER_CONNECTIONS + 12;
+
+/// Why the service could not run.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// A port could not be opened.
+    #[error("cannot listen on {0}: {1}")]
+    Listen(String, std::io::Error),
+    /// An address is not one; the settings check should have found it.
+    #[error("not an address: {0}")]
+    Address(String),
+}
+
+fn address(text: &str) -> Result<SocketAddr, RunError> {
+    text.parse().map_err(|_| RunError::Address(text.to_owned()))
+}
+
+fn listen(text: &str) -> Result<Async<TcpListener>, RunError> {
+    Async::<TcpListener>::bind(address(text)?)
+        .map_err(|error| RunError::Listen(text.to_owned(), error))
+}
+
+/// Runs a controller until it is killed.
+pub fn run(settings: Settings, parameters: Parameters) -> Result<Infallible, RunError> {
+    let users = listen(&settings.client_listen)?;
+    let internal = listen(&settings.internal_addr)?;
+    let connections =
+        settings.facts.limits.sockets - OWN_SOCKETS.min(settings.facts.limits.sockets - 1);
+    let peers = settings
+        .known
+        .iter()
+        .map(|peer| {
+            let client = PeerClient::new(address(&peer.endpoint)?);
+            Ok((peer.host_name.clone(), client))
+        })
+        .collect::<Result<_, RunError>>()?;
+    tracing::info!(
+        name = %settings.host_name, zone = settings.site, listen = settings.client_listen,
+        "starting"
+    );
+    let executor = Rc::new(Executor::new());
+    let service = Rc::new(Service {
+        executor: Rc::clone(&executor),
+        state: HttpClient::new(address(&settings.services.state)?, STATE_CONNECTIONS),
+        cloud: HttpClient::new(address(&settings.services.cloud)?, CLOUD_CONNECTIONS),
+        peers,
+        controller: RefCell::new(Controller::new(settings, parameters)),
+        started: Instant::now(),
+        requests: Cell::new(0),
+        waiting: RefCell::new(BTreeMap::new()),
+        waiting_peers: RefCell::new(BTreeMap::new()),
+    });
+    let for_users = Rc::clone(&service);
+    let handler: server::Handler = Rc::new(move |incoming| {
+        let service = Rc::clone(&for_users);
+        Box::pin(async move { service.answer(incoming).await })
+    });
+    let for_peers = Rc::clone(&service);
+    let peer_handler: peer::PeerHandler = Rc::new(move |request| {
+        let service = Rc::clone(&for_peers);
+        Box::pin(async move { service.answer_peer(request).await })
+    });
+    executor
+        .spawn(server::serve(
+            Rc::clone(&executor),
+            users,
+            connections,
+            handler,
+        ))
+        .detach();
+    executor
+        .spawn(peer::serve(
+            Rc::clone(&executor),
+            internal,
+            PEER_CONNECTIONS,
+            peer_handler,
+        ))
+        .detach();
+    async_io::block_on(executor.run(async {
+        loop {
+            service.dispatch(Event::Tick);
+            Timer::after(Duration::from_millis(TICK_MS)).await;
+        }
+    }))
+}
+
+struct Service {
+    executor: Rc<Executor>,
+    state: HttpClient,
+    cloud: HttpClient,
+    peers: BTreeMap<NodeName, PeerClient>,
+    controller: RefCell<Controller>,
+    started: Instant,
+    requests: Cell<u64>,
+    waiting: RefCell<BTreeMap<RequestId, Sender<Reply>>>,
+    waiting_peers: RefCell<BTreeMap<RequestId, Sender<PeerAnswer>>>,
+}
+
+impl Service {
+    fn steady(&self) -> Time {
+        Time(self.started.elapsed().as_millis() as u64)
+    }
+
+    fn now(&self) -> Now {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+        Now {
+            steady: self.steady(),
+            wall_ms: wall.map_or(0, |since| since.as_millis() as u64),
+        }
+    }
+
+    fn request(&self) -> RequestId {
+        self.requests.set(self.requests.get() + 1);
+        RequestId(self.requests.get())
+    }
+
+    fn dispatch(self: &Rc<Self>, event: Event) {
+        let actions = self
+            .controller
+            .borrow_mut()
+            .handle(self.now(), event, &|| self.steady());
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    fn perform(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Reply(request, reply) => {
+                if let Some(sender) = self.waiting.borrow_mut().remove(&request) {
+                    let _ = sender.try_send(reply);
+                }
+            }
+            Action::PeerReply(request, answer) => {
+                if let Some(sender) = self.waiting_peers.borrow_mut().remove(&request) {
+                    let _ = sender.try_send(answer);
+                }
+            }
+            Action::Store(tag, op, deadline_ms) => {
+                let this = Rc::clone(self);
+                let sent = self.steady();
+                self.executor
+                    .spawn(async move {
+                        let deadline = Duration::from_millis(deadline_ms);
+                        let reply = state::call(&this.state, op, deadline).await;
+                        this.dispatch(Event::Store(tag, sent, reply));
+                    })
+                    .detach();
+            }
+            Action::Cloud(request) => {
+                let this = Rc::clone(self);
+                self.executor
+                    .spawn(async move {
+                        let deadline = Duration::from_millis(CLOUD_DEADLINE_MS);
+                        let reply = cloud::call(&this.cloud, &request, deadline).await;
+                        this.dispatch(Event::Cloud(request, reply));
+                    })
+                    .detach();
+            }
+            Action::Peer(to, request) => {
+                let this = Rc::clone(self);
+                self.executor
+                    .spawn(async move {
+                        let deadline = Duration::from_millis(SYNC_DEADLINE_MS);
+                        let answer = match this.peers.get(&to) {
+                            Some(peer) => peer.call(&request, deadline).await,
+                            None => {
+                                tracing::error!(peer = %to, "not among the known controllers");
+                                this.dispatch(Event::PeerAnswer(None));
+                                return;
+                            }
+                        };
+                        let answer = answer
+                            .inspect_err(|error| tracing::debug!(peer = %to, %error, "peer"))
+                            .ok();
+                        this.dispatch(Event::PeerAnswer(answer));
+                    })
+                    .detach();
+            }
+        }
+    }
+
+    async fn answer(self: Rc<Self>, incoming: Incoming) -> Reply {
+        let request = self.request();
+        let event = match route(request, incoming) {
+            Ok(event) => event,
+            Err(reply) => return reply,
+        };
+        let (sender, receiver) = async_channel::bounded(1);
+        self.waiting.borrow_mut().insert(request, sender);
+        self.dispatch(event);
+        receiver
+            .recv()
+            .await
+            .unwrap_or_else(|_| Reply::later("no answer"))
+    }
+
+    async fn answer_peer(self: Rc<Self>, request: PeerRequest) -> Option<PeerAnswer> {
+        let id = self.request();
+        let (sender, receiver) = async_channel::bounded(1);
+        self.waiting_peers.borrow_mut().insert(id, sender);
+        self.dispatch(Event::Peer(id, request));
+        receiver.recv().await.ok()
+    }
+}
+
+/// Finds out what a request wants.
+fn route(request: RequestId, incoming: Incoming) -> Result<Event, Reply> {
+    let Incoming { method, path, body } = incoming;
+    let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+    let (wanted, event): (Method, Box<dyn FnOnce(Vec<u8>) -> Event>) = match parts.as_slice() {
+        ["healthz"] => (Method::Get, Box::new(|_| Event::Health(request))),
+        ["checkin"] => (Method::Post, Box::new(|body| Event::Report(request, body))),
+        ["v2", "runs"] => (Method::Post, Box::new(|body| Event::Submit(request, body))),
+        ["v2", "runs", id] => {
+            let id = (*id).to_owned();
+            (Method::Get, Box::new(|_| Event::Status(request, id)))
+        }
+        ["v2", "runs", id, "withdraw"] => {
+            let id = (*id).to_owned();
+            (Method::Post, Box::new(|_| Event::Withdraw(request, id)))
+        }
+        _ => return Err(Reply::error(404, "no such path")),
+    };
+    if method != wanted {
+        return Err(Reply::error(405, "wrong method"));
+    }
+    match body {
+        Some(body) => Ok(event(body)),
+        None => Err(Reply::error(400, "body over 64 KiB")),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn status(method: Method, path: &str, body: Option<Vec<u8>>) -> Option<u16> {
+        let incoming = Incoming {
+            method,
+            path: path.to_owned(),
+            body,
+        };
+        route(RequestId(1), incoming)
+            .err()
+            .map(|reply| reply.status)
+    }
+
+    #[test]
+    fn unknown_paths_wrong_methods_and_large_bodies_are_refused() {
+        let some = || Some(Vec::new());
+        assert_eq!(status(Method::Get, "/healthz", some()), None);
+        assert_eq!(
+            status(Method::Post, "/v2/runs/j-000001/withdraw", some()),
+            None
+        );
+        assert_eq!(status(Method::Get, "/nothing", some()), Some(404));
+        assert_eq!(status(Method::Get, "/v2/runs", some()), Some(405));
+        assert_eq!(status(Method::Post, "/v2/runs", None), Some(400));
+    }
+}
