--- a/crates/worksshunt/src/options.rs
+++ b/crates/worksshunt/src/options.rs
@@ -205,7 +205,8 @@
 
     #[test]
     fn contradictions_are_named_by_field() {
-        let cases: [(&str, fn(&mut serde_json::Value)); 5] = [
+        type Change = fn(&mut serde_json::Value);
+        let cases: [(&str, Change); 5] = [
             ("facts.teams.cpus", |v| {
                 v["facts"]["teams"][0]["cpus"] = 3.0.into()
             }),
--- a/crates/worksshunt/src/service.rs
+++ b/crates/worksshunt/src/service.rs
@@ -241,26 +241,23 @@
 fn route(request: RequestId, incoming: Incoming) -> Result<Event, Reply> {
     let Incoming { method, path, body } = incoming;
     let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
-    let (wanted, event): (Method, Box<dyn FnOnce(Vec<u8>) -> Event>) = match parts.as_slice() {
-        ["healthz"] => (Method::Get, Box::new(|_| Event::Health(request))),
-        ["checkin"] => (Method::Post, Box::new(|body| Event::Report(request, body))),
-        ["v2", "runs"] => (Method::Post, Box::new(|body| Event::Submit(request, body))),
-        ["v2", "runs", id] => {
-            let id = (*id).to_owned();
-            (Method::Get, Box::new(|_| Event::Status(request, id)))
-        }
+    let Some(body) = body else {
+        return Err(Reply::error(400, "body over 64 KiB"));
+    };
+    let (wanted, event) = match parts.as_slice() {
+        ["healthz"] => (Method::Get, Event::Health(request)),
+        ["checkin"] => (Method::Post, Event::Report(request, body)),
+        ["v2", "runs"] => (Method::Post, Event::Submit(request, body)),
+        ["v2", "runs", id] => (Method::Get, Event::Status(request, (*id).to_owned())),
         ["v2", "runs", id, "withdraw"] => {
-            let id = (*id).to_owned();
-            (Method::Post, Box::new(|_| Event::Withdraw(request, id)))
+            (Method::Post, Event::Withdraw(request, (*id).to_owned()))
         }
         _ => return Err(Reply::error(404, "no such path")),
     };
-    if method != wanted {
-        return Err(Reply::error(405, "wrong method"));
-    }
-    match body {
-        Some(body) => Ok(event(body)),
-        None => Err(Reply::error(400, "body over 64 KiB")),
+    if method == wanted {
+        Ok(event)
+    } else {
+        Err(Reply::error(405, "wrong method"))
     }
 }
 
