Launches go straight to workers; decisions follow events

Cause: a freed slot stood empty for the rest of the report interval and up to two ticks and two exchanges with the leader. Now an owner syncs as soon as its part has changed, the leader hands out within the same exchange, and a recorded launch goes to the worker's /orders. An unanswered order keeps its attempt from being reaped or counted as gone until session or token change.

--- a/crates/worksshunt-core/src/allotment.rs
+++ b/crates/worksshunt-core/src/allotment.rs
@@ -108,7 +108,12 @@
 /// A part as its owner last described it.
 #[derive(Debug, Default)]
 struct PartView {
+    heard: bool,
     answers: u64,
+    /// Number of the last answer its owner acted on.
+    seen: u64,
+    /// The attempts it listed last, until it is answered.
+    attempts: Vec<(TaskId, Attempt, Phase)>,
     machines: Vec<MachineUp>,
     /// Room left on each machine after what was handed out since.
     room: Vec<Room>,
@@ -327,8 +332,8 @@
         Some(out)
     }
 
-    /// Takes in a part's state and answers it.
-    pub fn sync(&mut self, now: Time, up: SyncUp) -> SyncDown {
+    /// Takes in a part's state.
+    pub fn sync(&mut self, now: Time, up: SyncUp) {
         for (task, attempt, machine, failure) in &up.failures {
             if self.remove_out(*attempt).is_some() {
                 self.failed(now, *task, machine, *failure);
@@ -394,27 +399,42 @@
                 self.release(&machine);
             }
         }
-        let durable = up
-            .attempts
-            .iter()
-            .filter(|a| a.phase == Phase::Completed && self.is_durable(a.task))
-            .map(|a| a.attempt)
-            .collect();
-        // Attempts at a task that is done already, or whose job is over, are of no use.
-        let stops = up
+        let part = self.parts.entry(up.from.clone()).or_default();
+        part.heard = true;
+        part.seen = up.seen;
+        part.machines = up.machines;
+        part.attempts = up
             .attempts
             .iter()
-            .filter(|a| a.phase != Phase::Completed && !self.wanted(a.task))
-            .map(|a| a.attempt)
+            .map(|a| (a.task, a.attempt, a.phase))
             .collect();
-        let part = self.parts.entry(up.from.clone()).or_default();
-        part.answers += 1;
-        let seq = part.answers;
-        part.machines = up.machines;
         self.reckon_room(&up.from);
+        self.restart_round();
+    }
+
+    /// The answer to a part's state last taken in.
+    pub fn answer(&mut self, to: &NodeName) -> SyncDown {
+        let Some(part) = self.parts.get_mut(to) else {
+            return SyncDown::default();
+        };
+        part.answers += 1;
+        let (seq, seen) = (part.answers, part.seen);
+        let attempts = std::mem::take(&mut part.attempts);
+        let mut durable = Vec::new();
+        let mut stops = Vec::new();
+        for (task, attempt, phase) in attempts {
+            if phase == Phase::Completed {
+                if self.is_durable(task) {
+                    durable.push(attempt);
+                }
+            } else if !self.wanted(task) {
+                // The task is done already, or its job is over.
+                stops.push(attempt);
+            }
+        }
         let mut gives = Vec::new();
         for (attempt, out) in &mut self.outs {
-            if out.part == up.from && out.sent > up.seen {
+            if out.part == *to && out.sent > seen {
                 out.sent = seq;
                 gives.push(Give {
                     task: out.task,
@@ -424,7 +444,6 @@
                 });
             }
         }
-        self.restart_round();
         SyncDown {
             epoch: self.epoch,
             seq,
@@ -908,7 +927,7 @@
 
     /// Whether every part has described itself in this epoch.
     pub fn all_heard(&self) -> bool {
-        self.parts.values().all(|part| part.answers > 0)
+        self.parts.values().all(|part| part.heard)
     }
 
     /// Waiting tasks in order of service, as many as the teams' limits let run.
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -2,8 +2,9 @@
 //!
 //! Limits of a deployment are not here: they come from the settings file and the catalogue.
 
-/// Milliseconds between two decision rounds. Short against every aim, cheap when idle.
-pub const TICK_MS: u64 = 50;
+/// Milliseconds between two looks at the time. What happens is acted on at once; this is for what
+/// falls due.
+pub const TICK_MS: u64 = 100;
 
 /// Milliseconds a decision round may take before it is put off to the next one. A quarter of a
 /// tick leaves the rest for answering requests.
@@ -86,6 +87,13 @@
 /// User requests waiting for the state service; one more is refused at once.
 pub const USER_QUEUE: usize = 512;
 
+/// Milliseconds after which direct orders to a worker count as unanswered. Its next report, in at
+/// most a few seconds, serves as well.
+pub const ORDERS_DEADLINE_MS: u64 = 2_000;
+
+/// Milliseconds without direct orders to a worker that left some unanswered.
+pub const ORDERS_PAUSE_MS: u64 = 10_000;
+
 /// Milliseconds a removal may wait for another write of the same record.
 pub const LAZY_RECORD_MS: u64 = 5_000;
 
--- a/crates/worksshunt-core/src/controller.rs
+++ b/crates/worksshunt-core/src/controller.rs
@@ -17,7 +17,7 @@
     check_possible, done_key, final_key, final_value, open_key, parse, read_final, Job, Mirror,
     MirrorChange, DONE, OPEN,
 };
-use crate::machines::{record_key, Part, RECORDS};
+use crate::machines::{record_key, DirectOrders, OrdersReply, Part, RECORDS};
 use crate::membership::{Finding, Membership, Standing, CONTROL, EPOCH};
 use crate::placement::{owner, Parameters};
 use crate::quota::Quota;
@@ -156,6 +156,8 @@
     Store(StoreTag, Time, StoreReply),
     /// The cloud answered.
     Cloud(CloudRequest, CloudReply),
+    /// Direct orders to a worker were answered, or not.
+    Ordered(DirectOrders, OrdersReply),
     /// A peer asks.
     Peer(RequestId, PeerRequest),
     /// A peer answered; none: it did not.
@@ -171,6 +173,8 @@
     Store(StoreTag, StoreOp, u64),
     /// Ask the cloud.
     Cloud(CloudRequest),
+    /// Send orders straight to a worker.
+    Orders(DirectOrders),
     /// Ask a peer.
     Peer(NodeName, PeerRequest),
     /// Answer a peer.
@@ -312,8 +316,12 @@
     /// Takes in an event. `clock` reads the steady clock, for the budgets of decision rounds.
     pub fn handle(&mut self, now: Now, event: Event, clock: &dyn Fn() -> Time) -> Vec<Action> {
         let mut out = Vec::new();
+        let budget = Budget {
+            until: now.steady + ROUND_BUDGET_MS,
+            clock,
+        };
         match event {
-            Event::Tick => self.tick(now, clock, &mut out),
+            Event::Tick => self.tick(now, &budget, &mut out),
             Event::Submit(request, body) => self.submit(now, request, &body, &mut out),
             Event::Status(request, id) => {
                 self.ask(now, request, &id, Question::Status, &mut out);
@@ -331,8 +339,18 @@
             }
             Event::Store(tag, sent, reply) => self.store(now, tag, sent, reply, &mut out),
             Event::Cloud(request, reply) => self.cloud(now.steady, &request, reply),
+            Event::Ordered(orders, reply) => {
+                if let (true, Some(catalog)) = (
+                    orders.orders.token == self.membership.token(),
+                    &self.catalog,
+                ) {
+                    let token = orders.orders.token;
+                    self.part
+                        .ordered(now.steady, &orders, &reply, token, catalog);
+                }
+            }
             Event::Peer(request, PeerRequest::Sync(up)) => {
-                let answer = match self.lead_sync(now.steady, up) {
+                let answer = match self.lead_sync(now, up, &budget) {
                     Some(down) => PeerAnswer::Sync(down),
                     None => PeerAnswer::NotLeader,
                 };
@@ -349,9 +367,26 @@
             }
         }
         self.user_turns(now.steady, &mut out);
+        self.part_turns(now, &budget, &mut out);
         out
     }
 
+    /// Moves tasks on as far as they go now: placed, recorded, launched, reported to the leader.
+    fn part_turns(&mut self, now: Now, budget: &Budget, out: &mut Vec<Action>) {
+        let t = now.steady;
+        if self.membership.standing() != Standing::Serving {
+            return;
+        }
+        self.sync_turn(now, budget, out);
+        self.part.place(t, &self.mirror, budget);
+        if self.membership.has_authority(t) {
+            self.write_turn(t, out);
+            for orders in self.part.direct_orders(t, self.membership.token()) {
+                out.push(Action::Orders(orders));
+            }
+        }
+    }
+
     fn health(&self, now: Time) -> Reply {
         let able = self.mirror.loaded() && self.catalog.is_some();
         if able && now.since(self.store_heard) < HEALTH_STORE_MS {
@@ -363,12 +398,8 @@
 
     // --- time -----------------------------------------------------------------------------------
 
-    fn tick(&mut self, now: Now, clock: &dyn Fn() -> Time, out: &mut Vec<Action>) {
+    fn tick(&mut self, now: Now, budget: &Budget, out: &mut Vec<Action>) {
         let t = now.steady;
-        let budget = Budget {
-            until: t + ROUND_BUDGET_MS,
-            clock,
-        };
         self.membership_turns(t, out);
         self.mirror_turns(t, out);
         if self.catalog_turn.due(t) {
@@ -382,12 +413,7 @@
             Standing::Loading if self.load_retry.due(t) => self.load_step(t, out),
             Standing::Serving => {
                 self.part.tick(t);
-                self.part.place(t, &self.mirror, &budget);
-                self.lead(now, &budget, out);
-                self.sync_turn(t, out);
-                if self.membership.has_authority(t) {
-                    self.write_turn(t, out);
-                }
+                self.lead(now, budget, out);
             }
             _ => {}
         }
@@ -664,35 +690,39 @@
     }
 
     /// Takes in a part's state as the leader; none if it does not lead the part's epoch.
-    fn lead_sync(&mut self, now: Time, up: SyncUp) -> Option<SyncDown> {
-        if up.epoch != self.membership.token() || !self.membership.has_authority(now) {
+    fn lead_sync(&mut self, now: Now, up: SyncUp, budget: &Budget) -> Option<SyncDown> {
+        if up.epoch != self.membership.token() || !self.membership.has_authority(now.steady) {
             return None;
         }
         let leader = self.leader.as_mut()?;
-        let mut down = leader.allotment.sync(now, up);
+        let from = up.from.clone();
+        leader.allotment.sync(now.steady, up);
+        leader.allotment.round(now, budget);
+        let mut down = leader.allotment.answer(&from);
         down.drains = leader.fleet.drains();
         down.gone = leader.fleet.gone();
         Some(down)
     }
 
-    fn sync_turn(&mut self, now: Time, out: &mut Vec<Action>) {
+    fn sync_turn(&mut self, now: Now, budget: &Budget, out: &mut Vec<Action>) {
+        let t = now.steady;
         let every_ms = if self.part.changed() {
             SYNC_PRESSING_MS
         } else {
             SYNC_EVERY_MS
         };
-        if self.sync_turn.in_flight || now.since(self.sync_last) < every_ms {
+        if self.sync_turn.in_flight || t.since(self.sync_last) < every_ms {
             return;
         }
         let Some(leader) = self.membership.epoch().map(|e| e.leader.name.clone()) else {
             return;
         };
-        self.sync_last = now;
+        self.sync_last = t;
         let me = self.membership.me().clone();
-        let up = self.part.sync_up(now, self.membership.token(), &me);
+        let up = self.part.sync_up(t, self.membership.token(), &me);
         if self.membership.leads() {
-            if let Some(down) = self.lead_sync(now, up) {
-                self.apply_sync(now, &down);
+            if let Some(down) = self.lead_sync(now, up, budget) {
+                self.apply_sync(t, &down);
             }
         } else {
             self.sync_turn.in_flight = true;
@@ -1148,9 +1178,6 @@
             StoreTag::Batch(epoch) => {
                 if epoch == self.membership.token() && self.batch_turn.in_flight {
                     self.batch_answer(t, sent, reply, out);
-                    if self.membership.has_authority(t) {
-                        self.write_turn(t, out);
-                    }
                 }
             }
             StoreTag::Refresh(epoch, key) => {
--- a/crates/worksshunt-core/src/machines.rs
+++ b/crates/worksshunt-core/src/machines.rs
@@ -14,11 +14,12 @@
 use worksshunt_wire::peer::{AttemptUp, Failure, Give, MachineUp, Phase, SyncDown, SyncUp};
 use worksshunt_wire::settings::Workers;
 use worksshunt_wire::state::Pair;
-use worksshunt_wire::worker::{Command, ExitReason, Report, ReportedTask, TaskState};
+use worksshunt_wire::worker::{Command, ExitReason, Orders, Report, ReportedTask, TaskState};
 use worksshunt_wire::{Attempt, Epoch, JobId, MachineId, NodeName, Session, TaskId};
 
 use crate::constants::{
-    AUTHORITY_MS, CLOCK_DRIFT, LAZY_RECORD_MS, LEASE_MARGIN_MS, QUEUED_MS, SILENT_REPORTS,
+    AUTHORITY_MS, CLOCK_DRIFT, LAZY_RECORD_MS, LEASE_MARGIN_MS, ORDERS_PAUSE_MS, QUEUED_MS,
+    SILENT_REPORTS,
 };
 use crate::jobs::{Job, Mirror};
 use crate::placement::{choose, Candidate, Outcome, OverCapacity, Parameters, Room, Speed};
@@ -59,8 +60,11 @@
     Recording,
     /// On the durable record; the launch can leave.
     Recorded,
-    /// The launch left with the answer to the report of this number.
-    Launched(u64),
+    /// The launch left with the answer to a report. The worker's next report shows the outcome.
+    Launched,
+    /// The launch left straight for the worker and is not answered, or never will be: it can take
+    /// effect until the worker's session or the token changes.
+    Ordered,
     /// On the record of a former owner; nothing heard of it yet.
     Inherited,
     /// Waits for its image.
@@ -88,6 +92,10 @@
     stop: Option<f64>,
     /// The completion is in the store.
     durable: bool,
+    /// A direct launch of it was not answered and may yet arrive.
+    ordered: bool,
+    /// The stop was sent straight to the worker.
+    stop_sent: bool,
 }
 
 impl Held {
@@ -114,6 +122,29 @@
     zone: String,
     spot: bool,
     room: Room,
+    addr: String,
+}
+
+/// What became of direct orders.
+#[derive(Debug, Clone, PartialEq)]
+pub enum OrdersReply {
+    /// The worker answered, with its report after them.
+    Answered(Report),
+    /// They never left.
+    NotSent,
+    /// No answer: they may be carried out at any time.
+    Unknown,
+}
+
+/// Direct orders to a worker, to be sent by the service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DirectOrders {
+    /// The machine.
+    pub machine: MachineId,
+    /// Its worker's address.
+    pub addr: String,
+    /// The orders.
+    pub orders: Orders,
 }
 
 #[derive(Debug, Clone)]
@@ -125,6 +156,13 @@
     /// Latest moment at which the worker's lease can have been renewed.
     renewed: Time,
     lost: bool,
+    /// Direct orders are on their way.
+    ordering: bool,
+    /// No direct orders before: the last ones were not answered.
+    order_from: Time,
+    /// Ended attempts the worker must remember, because an unanswered direct launch of them would
+    /// start them a second time; with the session in which that can happen.
+    kept: BTreeMap<Attempt, Session>,
     /// When the cloud takes it, once it gave notice.
     notice: Option<Time>,
     draining: bool,
@@ -146,6 +184,9 @@
             heard: Time::default(),
             renewed,
             lost: false,
+            ordering: false,
+            order_from: Time::default(),
+            kept: BTreeMap::new(),
             notice: None,
             draining: false,
             claimed: false,
@@ -278,6 +319,8 @@
                         inherited: true,
                         stop,
                         durable: false,
+                        ordered: false,
+                        stop_sent: false,
                     },
                 );
             }
@@ -307,6 +350,9 @@
             if entry.recorded.contains(&attempt) {
                 entry.stale_since.get_or_insert(now);
             }
+            if held.ordered {
+                entry.kept.insert(attempt, held.session);
+            }
             if let Some(band) = held.over_capacity {
                 let outcome = match failure {
                     Failure::Error => Outcome::Faulted,
@@ -335,10 +381,32 @@
             .entry(id.clone())
             .or_insert_with(|| Machine::new(now));
         machine.renewed = machine.renewed.max(now);
+        if self.take_in(now, report, epoch, catalog, false) {
+            self.commands(&id, report, now)
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Takes in what a worker says, with a report or (`direct`) in answer to direct orders, which
+    /// renews no lease. False if it is older than what is known.
+    fn take_in(
+        &mut self,
+        now: Time,
+        report: &Report,
+        epoch: Epoch,
+        catalog: &Catalog,
+        direct: bool,
+    ) -> bool {
+        let id = report.machine.clone();
+        let Some(machine) = self.machines.get_mut(&id) else {
+            return false;
+        };
         let order = (report.session, report.seq);
         if order <= machine.newest {
-            return Vec::new();
+            return false;
         }
+        machine.kept.retain(|_, session| *session >= report.session);
         machine.newest = order;
         machine.heard = now;
         machine.lost = false;
@@ -348,6 +416,7 @@
                 zone: report.zone.clone(),
                 spot: report.spot,
                 room: Room::of_type(t),
+                addr: report.addr.clone(),
             });
             self.changed = true;
         }
@@ -364,8 +433,8 @@
         // Whatever a former owner sent is refused once the worker has seen this epoch's token, so
         // from then on a task that is not listed is not there.
         let definitive = report.token >= epoch;
-        self.not_listed(&id, report, definitive, now);
-        self.commands(&id, report, now)
+        self.not_listed(&id, report, definitive, direct, now);
+        true
     }
 
     /// A worker kills and forgets everything when its session ends.
@@ -427,7 +496,14 @@
         }
     }
 
-    fn not_listed(&mut self, id: &MachineId, report: &Report, definitive: bool, now: Time) {
+    fn not_listed(
+        &mut self,
+        id: &MachineId,
+        report: &Report,
+        definitive: bool,
+        direct: bool,
+        now: Time,
+    ) {
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
@@ -441,7 +517,10 @@
             match held.state {
                 HeldState::Recording | HeldState::Recorded => {}
                 // The answer that carried the launch was dropped, or this report would list it.
-                HeldState::Launched(_) if held.stop.is_none() => held.step(HeldState::Recorded),
+                HeldState::Launched if direct => {}
+                HeldState::Launched if held.stop.is_none() => held.step(HeldState::Recorded),
+                // It can still arrive, so its absence means nothing.
+                HeldState::Ordered => {}
                 HeldState::Completed if held.durable => settled.push(*attempt),
                 HeldState::Completed => {}
                 _ if definitive => gone.push(*attempt),
@@ -473,8 +552,13 @@
             let (task, attempt) = (*task, *attempt);
             let held = machine.held.get(&attempt);
             if *state == TaskState::Ended {
-                // A completion is durable before the worker forgets it.
-                if held.is_none_or(|held| held.durable) {
+                // A completion is durable before the worker forgets it, and no launch of a forgotten
+                // attempt may still be on its way.
+                let reap = match held {
+                    Some(held) => held.durable && !held.ordered,
+                    None => !machine.kept.contains_key(&attempt),
+                };
+                if reap {
                     commands.push(Command::Reap { task, attempt });
                 }
                 continue;
@@ -493,23 +577,134 @@
                 (None, _) => {}
             }
         }
+        let ordering = machine.ordering;
+        let listed: BTreeSet<Attempt> = report.tasks.iter().map(|t| t.attempt).collect();
         for (attempt, held) in &mut machine.held {
-            if held.state == HeldState::Recorded
-                && held.stop.is_none()
-                && machine.notice.is_none()
-                && held.session == report.session
-            {
-                held.step(HeldState::Launched(report.seq));
-                held.placed_at = now;
-                commands.push(Command::Launch {
-                    task: held.task,
-                    attempt: *attempt,
-                });
+            if held.session != report.session {
+                continue;
+            }
+            let (task, attempt) = (held.task, *attempt);
+            let launch = Command::Launch { task, attempt };
+            match held.state {
+                HeldState::Recorded if held.stop.is_none() && machine.notice.is_none() => {
+                    held.step(HeldState::Launched);
+                    held.placed_at = now;
+                    commands.push(launch);
+                }
+                // The direct launch was not answered: launched this way as well, which has no
+                // effect if it did arrive. One that is no longer wanted is stopped at once; the
+                // worker then knows it as ended, and the late copy has no effect either.
+                HeldState::Ordered if !ordering && !listed.contains(&attempt) => {
+                    commands.push(launch);
+                    if held.stop.is_some() {
+                        let grace_s = 0.0;
+                        commands.push(Command::Halt {
+                            task,
+                            attempt,
+                            grace_s,
+                        });
+                    }
+                }
+                _ => {}
             }
         }
         commands
     }
 
+    /// Launches and stops that can go straight to workers now. Only with authority.
+    pub fn direct_orders(&mut self, now: Time, token: Epoch) -> Vec<DirectOrders> {
+        let mut all = Vec::new();
+        for (id, machine) in &mut self.machines {
+            let Some(info) = &machine.info else { continue };
+            let reachable = !machine.ordering && !machine.lost && now >= machine.order_from;
+            if !reachable || now.since(machine.heard) > self.silent_ms {
+                continue;
+            }
+            let session = machine.newest.0;
+            let mut commands = Vec::new();
+            for (attempt, held) in &mut machine.held {
+                let (task, attempt) = (held.task, *attempt);
+                let launch = held.state == HeldState::Recorded
+                    && held.stop.is_none()
+                    && machine.notice.is_none()
+                    && held.session == session;
+                if launch {
+                    held.step(HeldState::Ordered);
+                    held.ordered = true;
+                    held.placed_at = now;
+                    commands.push(Command::Launch { task, attempt });
+                } else if let (Some(grace_s), HeldState::Fetching | HeldState::Running(_), false) =
+                    (held.stop, held.state, held.stop_sent)
+                {
+                    held.stop_sent = true;
+                    commands.push(Command::Halt {
+                        task,
+                        attempt,
+                        grace_s,
+                    });
+                }
+            }
+            if !commands.is_empty() {
+                machine.ordering = true;
+                all.push(DirectOrders {
+                    machine: id.clone(),
+                    addr: info.addr.clone(),
+                    orders: Orders {
+                        token,
+                        session,
+                        commands,
+                    },
+                });
+            }
+        }
+        all
+    }
+
+    /// Direct orders were answered, or not.
+    pub fn ordered(
+        &mut self,
+        now: Time,
+        sent: &DirectOrders,
+        reply: &OrdersReply,
+        epoch: Epoch,
+        catalog: &Catalog,
+    ) {
+        let Some(machine) = self.machines.get_mut(&sent.machine) else {
+            return;
+        };
+        machine.ordering = false;
+        // Whatever was answered, or never left, cannot take effect later.
+        let after = match reply {
+            OrdersReply::Answered(report) => {
+                self.take_in(now, report, epoch, catalog, true);
+                HeldState::Launched
+            }
+            OrdersReply::NotSent => HeldState::Recorded,
+            OrdersReply::Unknown => {
+                machine.order_from = now + ORDERS_PAUSE_MS;
+                return;
+            }
+        };
+        let Some(machine) = self.machines.get_mut(&sent.machine) else {
+            return;
+        };
+        if after == HeldState::Recorded {
+            machine.order_from = now + ORDERS_PAUSE_MS;
+        }
+        for command in &sent.orders.commands {
+            let Command::Launch { attempt, .. } = command else {
+                continue;
+            };
+            machine.kept.remove(attempt);
+            if let Some(held) = machine.held.get_mut(attempt) {
+                held.ordered = false;
+                if held.state == HeldState::Ordered {
+                    held.step(after);
+                }
+            }
+        }
+    }
+
     /// Stops every attempt of a job that is over.
     pub fn stop_job(&mut self, job: JobId, now: Time) {
         self.queue.retain(|queued| queued.give.task.job != job);
@@ -724,6 +919,8 @@
                     inherited: false,
                     stop: None,
                     durable: false,
+                    ordered: false,
+                    stop_sent: false,
                 },
             );
             self.changed = true;
--- a/crates/worksshunt-net/src/lib.rs
+++ b/crates/worksshunt-net/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod peer;
 pub mod server;
 pub mod state;
+pub mod worker;
 
 /// The executor everything runs on: one thread, because a controller has a fraction of a core.
 pub type Executor = async_executor::LocalExecutor<'static>;
--- /dev/null
+++ b/crates/worksshunt-net/src/worker.rs
@@ -0,0 +1,69 @@
+//! Client of the workers: direct orders.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_types::Method;
+use worksshunt_core::machines::{DirectOrders, OrdersReply};
+use worksshunt_wire::worker::Report;
+
+use crate::client::{CallError, HttpClient};
+
+/// Clients of the workers spoken to lately.
+pub struct Workers {
+    most: usize,
+    clients: RefCell<BTreeMap<SocketAddr, Rc<HttpClient>>>,
+}
+
+impl Workers {
+    /// At most so many connections are kept.
+    pub fn new(most: usize) -> Workers {
+        Workers {
+            most,
+            clients: RefCell::new(BTreeMap::new()),
+        }
+    }
+
+    fn client(&self, addr: SocketAddr) -> Rc<HttpClient> {
+        let mut clients = self.clients.borrow_mut();
+        if clients.len() >= self.most && !clients.contains_key(&addr) {
+            // Connections to machines long gone have to end some day; new ones are cheap.
+            clients.clear();
+        }
+        let client = clients
+            .entry(addr)
+            .or_insert_with(|| Rc::new(HttpClient::new(addr, 1)));
+        Rc::clone(client)
+    }
+
+    /// Sends orders to a worker.
+    pub async fn call(&self, orders: &DirectOrders, deadline: Duration) -> OrdersReply {
+        let Ok(addr) = orders.addr.parse() else {
+            tracing::error!(machine = %orders.machine, addr = orders.addr, "not an address");
+            return OrdersReply::NotSent;
+        };
+        let body = serde_json::json!(orders.orders).to_string();
+        let result = self
+            .client(addr)
+            .call(Method::Post, "/orders", Some(body), deadline)
+            .await;
+        let (status, body) = match result {
+            Ok(answer) => answer,
+            Err(CallError::Connect(_)) => return OrdersReply::NotSent,
+            Err(error) => {
+                tracing::debug!(machine = %orders.machine, %error, "orders");
+                return OrdersReply::Unknown;
+            }
+        };
+        match (status, serde_json::from_slice::<Report>(&body)) {
+            (200 | 409, Ok(report)) => OrdersReply::Answered(report),
+            _ => {
+                tracing::debug!(machine = %orders.machine, status, "odd answer to orders");
+                OrdersReply::Unknown
+            }
+        }
+    }
+}
--- a/crates/worksshunt/src/service.rs
+++ b/crates/worksshunt/src/service.rs
@@ -10,7 +10,9 @@
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use http_types::Method;
-use worksshunt_core::constants::{CLOUD_DEADLINE_MS, SYNC_DEADLINE_MS, TICK_MS};
+use worksshunt_core::constants::{
+    CLOUD_DEADLINE_MS, ORDERS_DEADLINE_MS, SYNC_DEADLINE_MS, TICK_MS,
+};
 use worksshunt_core::controller::{Action, Controller, Event};
 use worksshunt_core::placement::Parameters;
 use worksshunt_core::time::{Now, Time};
@@ -18,6 +20,7 @@
 use worksshunt_net::client::HttpClient;
 use worksshunt_net::peer::PeerClient;
 use worksshunt_net::server::Incoming;
+use worksshunt_net::worker::Workers;
 use worksshunt_net::{cloud, peer, server, state, Executor};
 use worksshunt_wire::peer::{PeerAnswer, PeerRequest};
 use worksshunt_wire::settings::Settings;
@@ -33,6 +36,9 @@
 /// Sockets kept back from users and workers.
 const OWN_SOCKETS: usize = STATE_CONNECTIONS + CLOUD_CONNECTIONS + PEER_CONNECTIONS + 12;
 
+/// One in so many of the other sockets may be a connection to a worker.
+const WORKER_SHARE: usize = 4;
+
 /// Why the service could not run.
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
@@ -57,8 +63,9 @@
 pub fn run(settings: Settings, parameters: Parameters) -> Result<Infallible, RunError> {
     let users = listen(&settings.client_listen)?;
     let internal = listen(&settings.internal_addr)?;
-    let connections =
-        settings.facts.limits.sockets - OWN_SOCKETS.min(settings.facts.limits.sockets - 1);
+    let free = settings.facts.limits.sockets.saturating_sub(OWN_SOCKETS);
+    let worker_connections = free / WORKER_SHARE;
+    let connections = free - worker_connections;
     let peers = settings
         .known
         .iter()
@@ -76,6 +83,7 @@
         executor: Rc::clone(&executor),
         state: HttpClient::new(address(&settings.services.state)?, STATE_CONNECTIONS),
         cloud: HttpClient::new(address(&settings.services.cloud)?, CLOUD_CONNECTIONS),
+        workers: Workers::new(worker_connections),
         peers,
         controller: RefCell::new(Controller::new(settings, parameters)),
         started: Instant::now(),
@@ -121,6 +129,7 @@
     executor: Rc<Executor>,
     state: HttpClient,
     cloud: HttpClient,
+    workers: Workers,
     peers: BTreeMap<NodeName, PeerClient>,
     controller: RefCell<Controller>,
     started: Instant,
@@ -190,6 +199,16 @@
                     })
                     .detach();
             }
+            Action::Orders(orders) => {
+                let this = Rc::clone(self);
+                self.executor
+                    .spawn(async move {
+                        let deadline = Duration::from_millis(ORDERS_DEADLINE_MS);
+                        let reply = this.workers.call(&orders, deadline).await;
+                        this.dispatch(Event::Ordered(orders, reply));
+                    })
+                    .detach();
+            }
             Action::Peer(to, request) => {
                 let this = Rc::clone(self);
                 self.executor
