Rent by the work at hand against how long tasks may wait

Now the work at hand must keep all machines busy for longer than tasks may wait (objectives of the class, 5 to 20 s). An idle machine now goes back even while other work waits: that work cannot use it.

--- a/crates/worksshunt-core/src/allotment.rs
+++ b/crates/worksshunt-core/src/allotment.rs
@@ -15,7 +15,7 @@
 
 use crate::constants::{
     ATTEMPTS_PER_EPOCH, CLAIMS_AT_ONCE, CLAIM_AFTER_MS, ERRORS_BEFORE_BACKOFF,
-    ERROR_BACKOFF_MAX_MS, ERROR_BACKOFF_MS,
+    ERROR_BACKOFF_MAX_MS, ERROR_BACKOFF_MS, LEFT_AT_LEAST,
 };
 use crate::jobs::{parse_done_key, DoneSet, Job, Mirror};
 use crate::machines::{read_record, record_machine};
@@ -98,6 +98,7 @@
     /// Number of the answer that handed it out last; `UNSENT` before.
     sent: u64,
     phase: Phase,
+    ran_ms: u64,
     machine: Option<MachineId>,
     zone: Option<String>,
     claimed: Option<MachineId>,
@@ -151,8 +152,12 @@
 pub struct Demand {
     /// The job.
     pub job: Rc<Job>,
-    /// Tasks its team's limit lets run beside those that run.
+    /// Tasks that wait and that its team's limit lets run beside those that run.
     pub tasks: u32,
+    /// Tasks handed out.
+    pub running: u32,
+    /// Estimated seconds the tasks handed out still take, summed up.
+    pub running_s: f64,
     /// The zone they must be in.
     pub zone: Option<String>,
 }
@@ -237,6 +242,7 @@
                         part: part.clone(),
                         sent: 0,
                         phase: Phase::Placed,
+                        ran_ms: 0,
                         machine: Some(machine.clone()),
                         zone: None,
                         claimed: None,
@@ -369,6 +375,7 @@
                         part: up.from.clone(),
                         sent: 0,
                         phase: Phase::Queued,
+                        ran_ms: 0,
                         machine: None,
                         zone: None,
                         claimed: None,
@@ -378,6 +385,7 @@
             let Some(out) = self.outs.get_mut(&listed.attempt) else {
                 continue;
             };
+            out.ran_ms = listed.ran_ms;
             out.machine.clone_from(&listed.machine);
             if zone.is_some() {
                 out.zone = zone;
@@ -648,6 +656,7 @@
                 part,
                 sent: UNSENT,
                 phase: Phase::Queued,
+                ran_ms: 0,
                 machine: None,
                 zone,
                 claimed,
@@ -930,7 +939,7 @@
         self.parts.values().all(|part| part.heard)
     }
 
-    /// Waiting tasks in order of service, as many as the teams' limits let run.
+    /// Open jobs in order of service, with as many waiting tasks as the teams' limits let run.
     pub fn demand(&self, now: Now) -> Vec<Demand> {
         let mut quota = self.quota.clone();
         let mut works: Vec<&Work> = self
@@ -945,15 +954,25 @@
                 work.job.accepted_ms,
             )
         });
+        let mut ran: BTreeMap<JobId, (u32, f64)> = BTreeMap::new();
+        for out in self.outs.values().filter(|o| o.phase != Phase::Completed) {
+            let Some(job) = &out.job else { continue };
+            let estimate_s = job.spec.estimate_s;
+            let left = (estimate_s - out.ran_ms as f64 / 1_000.0).max(estimate_s * LEFT_AT_LEAST);
+            let sum = ran.entry(out.task.job).or_default();
+            sum.0 += 1;
+            sum.1 += left;
+        }
         let mut demand = Vec::new();
         for work in works {
+            let (running, running_s) = ran.get(&work.job.spec.id).copied().unwrap_or_default();
             let mut tasks = 0;
             let waiting = work.waiting();
             while tasks < waiting && quota.admits(&work.job) {
                 quota.take(&work.job);
                 tasks += 1;
             }
-            if tasks > 0 {
+            if tasks + running > 0 {
                 let zone = match self.allowed_zones(&work.job) {
                     Some(zones) if zones.len() == 1 => zones.into_iter().next(),
                     _ => None,
@@ -961,6 +980,8 @@
                 demand.push(Demand {
                     job: Rc::clone(&work.job),
                     tasks,
+                    running,
+                    running_s,
                     zone,
                 });
             }
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -157,9 +157,15 @@
 /// Machines in one return request (protocol).
 pub const RETURN_MOST: usize = 100;
 
-/// Seconds of work that justify renting one machine's worth of processors: near the 60 s that a
-/// machine costs at the least.
-pub const RENT_WORK_S: f64 = 60.0;
+/// Seconds a task of a class without objectives may wait: near the 60 s that a machine costs at the
+/// least.
+pub const SLACK_DEFAULT_S: f64 = 60.0;
+
+/// Least seconds of work that justify renting a machine's worth of processors, however urgent.
+pub const SLACK_LEAST_S: f64 = 5.0;
+
+/// Most seconds of work that are left waiting for machines rented already, however patient.
+pub const SLACK_MOST_S: f64 = 20.0;
 
 /// Milliseconds a refused (type, zone, kind) is not asked for again.
 pub const RENT_REFUSED_MS: u64 = 15_000;
@@ -175,3 +181,7 @@
 
 /// Attempts numbered per epoch: an attempt's number is the epoch's times this plus a count.
 pub const ATTEMPTS_PER_EPOCH: u64 = 1 << 24;
+
+/// Share of its estimate that a running task is taken to need still, however long it has run:
+/// estimates are often wrong by half.
+pub const LEFT_AT_LEAST: f64 = 0.2;
--- a/crates/worksshunt-core/src/fleet.rs
+++ b/crates/worksshunt-core/src/fleet.rs
@@ -8,12 +8,16 @@
 
 use crate::allotment::Demand;
 use crate::constants::{
-    BOOT_EXTRA_S, BOOT_FACTOR, IDLE_RETURN_MS, RENT_MOST, RENT_REFUSED_MS, RENT_WORK_S, RETURN_MOST,
+    BOOT_EXTRA_S, BOOT_FACTOR, IDLE_RETURN_MS, RENT_MOST, RENT_REFUSED_MS, RETURN_MOST,
 };
 use crate::jobs::Job;
+use crate::objectives::Objectives;
 use crate::placement::Room;
 use crate::time::Time;
 
+/// Slack for sums of fractions of machines.
+const ROUNDING: f64 = 1e-6;
+
 /// One kind of machine that can be rented.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Offer {
@@ -200,17 +204,18 @@
         catalog: &Catalog,
         rooms: impl Iterator<Item = (&'a MachineUp, &'a Room)>,
         demand: &[Demand],
+        objectives: &Objectives,
     ) -> Vec<CloudRequest> {
         let mut requests = Vec::new();
         let rooms: Vec<(&MachineUp, Room)> = rooms.map(|(m, room)| (m, *room)).collect();
         let left = self.unserved(catalog, &rooms, demand);
-        if let Some(names) = self.returns(now, catalog, &rooms, demand.is_empty()) {
+        if let Some(names) = self.returns(now, catalog, &rooms) {
             self.return_in_flight = true;
             requests.push(CloudRequest::Return(names));
         }
         if !self.rent_in_flight && now >= self.rent_from {
             if self.renting.is_none() {
-                self.renting = self.rental(now, catalog, &left);
+                self.renting = self.rental(now, catalog, &left, demand, objectives);
             }
             if let Some(request) = &self.renting {
                 tracing::info!(
@@ -274,17 +279,41 @@
     }
 
     /// The next rental, for the kind of machine that most of the unserved demand wants.
-    fn rental(&mut self, now: Time, catalog: &Catalog, left: &[Demand]) -> Option<RentRequest> {
+    ///
+    /// A machine is rented when the work at hand would keep all there are busy for longer than
+    /// their tasks may wait, and there are tasks it could start at once.
+    fn rental(
+        &mut self,
+        now: Time,
+        catalog: &Catalog,
+        left: &[Demand],
+        demand: &[Demand],
+        objectives: &Objectives,
+    ) -> Option<RentRequest> {
+        let needed: f64 = demand
+            .iter()
+            .map(|d| processors_needed(d, objectives.slack_s(&d.job)))
+            .sum();
         let mut wanted: BTreeMap<Offer, f64> = BTreeMap::new();
         for demand in left {
             let Some((offer, slots)) = self.best_offer(now, catalog, demand) else {
                 continue;
             };
-            let tasks = f64::from(demand.tasks);
-            let by_slots = tasks / slots;
-            let by_work = by_slots * demand.job.spec.estimate_s / RENT_WORK_S;
-            *wanted.entry(offer).or_default() += by_slots.min(by_work);
+            let each = catalog.get(&offer.machine_type).map_or(0.0, |t| t.cpus);
+            let there: f64 = self
+                .machines
+                .values()
+                .filter(|t| matches!(t.stage, Stage::Booting | Stage::Up))
+                .filter(|t| allows(&demand.job, demand.zone.as_ref(), &t.offer))
+                .filter_map(|t| catalog.get(&t.offer.machine_type))
+                .map(|t| t.cpus)
+                .sum();
+            let ordered: f64 = wanted.values().sum();
+            let missing = ((needed - there) / each.max(1.0) - ordered).max(0.0);
+            let by_slots = f64::from(demand.tasks) / slots;
+            *wanted.entry(offer).or_default() += by_slots.min(missing);
         }
+        wanted.retain(|_, count| *count > ROUNDING);
         let (offer, count) = wanted.into_iter().max_by(|(_, a), (_, b)| a.total_cmp(b))?;
         self.requests += 1;
         Some(RentRequest {
@@ -343,7 +372,6 @@
         now: Time,
         catalog: &Catalog,
         rooms: &[(&MachineUp, Room)],
-        nothing_waits: bool,
     ) -> Option<MachineNames> {
         let empty: BTreeSet<&MachineId> = rooms
             .iter()
@@ -361,7 +389,7 @@
             let patience = ((boot_s * BOOT_FACTOR + BOOT_EXTRA_S) * 1_000.0) as u64;
             let silent = now.since(tracked.heard.unwrap_or(tracked.since)) > patience;
             match tracked.stage {
-                Stage::Up if idle && nothing_waits => tracked.step(id, Stage::Draining),
+                Stage::Up if idle => tracked.step(id, Stage::Draining),
                 Stage::Booting | Stage::Up if silent => {
                     tracing::info!(machine = %id, stage = ?tracked.stage, "machine is silent: returned");
                     tracked.heard = None;
@@ -467,6 +495,13 @@
     }
 }
 
+/// Processors that would get a job's tasks done in time, if each were done once its turn came.
+fn processors_needed(demand: &Demand, slack_s: f64) -> f64 {
+    let waiting_s = f64::from(demand.tasks) * demand.job.spec.estimate_s;
+    let at_once = f64::from(demand.tasks + demand.running);
+    demand.job.spec.cpus * at_once.min((waiting_s + demand.running_s) / slack_s)
+}
+
 fn allows(job: &Job, zone: Option<&String>, offer: &Offer) -> bool {
     job.allows(&offer.machine_type, &offer.zone, offer.spot)
         && zone.is_none_or(|zone| *zone == offer.zone)
--- a/crates/worksshunt-core/src/lib.rs
+++ b/crates/worksshunt-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod jobs;
 pub mod machines;
 pub mod membership;
+pub mod objectives;
 pub mod placement;
 pub mod quota;
 pub mod time;
--- /dev/null
+++ b/crates/worksshunt-core/src/objectives.rs
@@ -0,0 +1,74 @@
+//! What users expect of each class of jobs, as the settings say it.
+
+use std::collections::BTreeMap;
+
+use worksshunt_wire::settings::Objective;
+
+use crate::constants::{SLACK_DEFAULT_S, SLACK_LEAST_S, SLACK_MOST_S};
+use crate::jobs::Job;
+
+#[derive(Debug, Clone, Default)]
+struct Class {
+    /// Multiples of the job's deadline by which it should be done.
+    times: Vec<f64>,
+    /// Seconds within which it should be done.
+    finish_s: Vec<f64>,
+    /// Seconds within which its tasks should start.
+    start_s: Option<f64>,
+}
+
+/// The objectives by class.
+#[derive(Debug, Clone, Default)]
+pub struct Objectives {
+    classes: BTreeMap<String, Class>,
+}
+
+impl Objectives {
+    /// Reads the settings' list.
+    pub fn new(list: &[Objective]) -> Objectives {
+        let mut classes: BTreeMap<String, Class> = BTreeMap::new();
+        for objective in list {
+            let Some(name) = &objective.class else {
+                continue;
+            };
+            let class = classes.entry(name.clone()).or_default();
+            match objective.kind.as_str() {
+                "deadline" => class.times.push(objective.times.unwrap_or(1.0)),
+                "finished" => class.finish_s.extend(objective.within_s),
+                "wait" => class.start_s = objective.within_s,
+                _ => {}
+            }
+        }
+        Objectives { classes }
+    }
+
+    /// Seconds after acceptance by which the job should be done, each of them, ascending.
+    fn milestones(&self, job: &Job) -> Vec<f64> {
+        let class = self.classes.get(&job.spec.class);
+        let mut all: Vec<f64> = class.map_or(Vec::new(), |c| c.finish_s.clone());
+        if let Some(deadline) = job.spec.deadline_s {
+            match class.filter(|c| !c.times.is_empty()) {
+                Some(class) => all.extend(class.times.iter().map(|times| times * deadline)),
+                None => all.push(deadline),
+            }
+        }
+        all.sort_by(f64::total_cmp);
+        all
+    }
+
+    /// Seconds a task of the job may wait, counted from acceptance, for the first thing expected
+    /// of the job to be met.
+    pub fn slack_s(&self, job: &Job) -> f64 {
+        let finish = self
+            .milestones(job)
+            .first()
+            .map(|milestone| milestone - job.spec.estimate_s);
+        let start = self.classes.get(&job.spec.class).and_then(|c| c.start_s);
+        let slack = match (finish, start) {
+            (Some(finish), Some(start)) => finish.min(start),
+            (Some(slack), None) | (None, Some(slack)) => slack,
+            (None, None) => SLACK_DEFAULT_S,
+        };
+        slack.clamp(SLACK_LEAST_S, SLACK_MOST_S)
+    }
+}
--- a/crates/worksshunt-wire/src/settings.rs
+++ b/crates/worksshunt-wire/src/settings.rs
@@ -48,6 +48,9 @@
 pub struct Facts {
     /// Teams.
     pub teams: Vec<Team>,
+    /// What is expected for each class of jobs.
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
     /// Workers' rhythm.
     pub workers: Workers,
     /// Limits of the state service.
@@ -58,6 +61,22 @@
     pub limits: ProcessLimits,
 }
 
+/// What is expected for a class of jobs.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Objective {
+    /// `deadline`, `finished`, `wait`, `guarantee`; others are ignored.
+    pub kind: String,
+    /// The class; none where it holds for all.
+    #[serde(default)]
+    pub class: Option<String>,
+    /// Seconds within which jobs should start or finish.
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    /// Multiple of the deadline.
+    #[serde(default)]
+    pub times: Option<f64>,
+}
+
 /// A team's guarantee and limit.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Team {
