A new leader no longer returns machines that are up but not heard of yet

A machine listed as up now counts as silent from its first sighting. Ruled out: spot losses (none at that time) and expired leases.

--- a/crates/worksshunt-core/src/fleet.rs
+++ b/crates/worksshunt-core/src/fleet.rs
@@ -120,7 +120,12 @@
             if self.gone.contains_key(&machine.id) {
                 continue;
             }
-            let age_ms = (machine.age_s * 1_000.0) as u64;
+            // A machine that is up counts as silent only from now on: this leader cannot know when
+            // its worker was last heard, and its parts may not have spoken yet.
+            let since = match machine.state {
+                ListedState::Starting => now - (machine.age_s * 1_000.0) as u64,
+                ListedState::Running | ListedState::Failed => now,
+            };
             let tracked = self
                 .machines
                 .entry(machine.id.clone())
@@ -131,7 +136,7 @@
                         spot: machine.spot,
                     },
                     stage: Stage::Booting,
-                    since: now - age_ms,
+                    since,
                     heard: None,
                     idle_since: None,
                 });
