Stories on virtual time; claims take full machines too; whole backlog counts for rentals

Cause (found by the story of the wide task): the leader claimed only machines that happened to show free processors, so under a stream of narrow tasks a wide one of equal rank never got one. Now any machine will do whose next ending task would not make room by itself. And a team's backlog beyond its limit counts as work when deciding what to rent.

--- a/crates/worksshunt-core/src/allotment.rs
+++ b/crates/worksshunt-core/src/allotment.rs
@@ -154,6 +154,8 @@
     pub job: Rc<Job>,
     /// Tasks that wait and that its team's limit lets run beside those that run.
     pub tasks: u32,
+    /// All tasks that wait.
+    pub waiting: u32,
     /// Tasks handed out.
     pub running: u32,
     /// Estimated seconds the tasks handed out still take, summed up.
@@ -780,6 +782,13 @@
             })
             .map(|work| Rc::clone(&work.job))
             .collect();
+        let mut narrowest: BTreeMap<MachineId, f64> = BTreeMap::new();
+        for out in self.outs.values().filter(|o| o.phase != Phase::Completed) {
+            if let (Some(machine), Some(job)) = (&out.machine, &out.job) {
+                let least = narrowest.entry(machine.clone()).or_insert(f64::MAX);
+                *least = least.min(job.spec.cpus);
+            }
+        }
         for job in stuck {
             if free_claims == 0 {
                 return;
@@ -788,17 +797,17 @@
                 continue;
             }
             let zones = self.allowed_zones(&job);
-            // Only tasks that need more of a machine than others leave free have to be helped;
-            // the rest find room as soon as any task ends.
+            // Only a task that needs more than the next task to end will leave has to be helped;
+            // the rest find room by themselves.
             let best = self
                 .parts
                 .values()
                 .flat_map(|part| part.machines.iter())
                 .filter(|m| {
+                    let next = narrowest.get(&m.id).copied().unwrap_or(0.0);
                     m.usable
                         && !m.noticed
-                        && m.cpus > 0.0
-                        && m.cpus < job.spec.cpus
+                        && m.cpus + next < job.spec.cpus
                         && !self.claims.contains_key(&m.id)
                         && job.allows(&m.machine_type, &m.zone, m.spot)
                         && zones.as_ref().is_none_or(|zones| zones.contains(&m.zone))
@@ -980,6 +989,7 @@
                 demand.push(Demand {
                     job: Rc::clone(&work.job),
                     tasks,
+                    waiting,
                     running,
                     running_s,
                     zone,
--- a/crates/worksshunt-core/src/fleet.rs
+++ b/crates/worksshunt-core/src/fleet.rs
@@ -502,7 +502,7 @@
 
 /// Processors that would get a job's tasks done in time, if each were done once its turn came.
 fn processors_needed(demand: &Demand, slack_s: f64) -> f64 {
-    let waiting_s = f64::from(demand.tasks) * demand.job.spec.estimate_s;
+    let waiting_s = f64::from(demand.waiting) * demand.job.spec.estimate_s;
     let at_once = f64::from(demand.tasks + demand.running);
     demand.job.spec.cpus * at_once.min((waiting_s + demand.running_s) / slack_s)
 }
--- /dev/null
+++ b/crates/worksshunt-core/tests/stories.rs
@@ -0,0 +1,361 @@
+//! Short stories about whole deployments on virtual time.
+
+mod world;
+
+use serde_json::json;
+use worksshunt_core::controller::{Event, StoreReply};
+use worksshunt_wire::JobId;
+use world::{job, World};
+
+/// A world in which an epoch has begun.
+fn ready() -> World {
+    let mut world = World::new();
+    world.until("an epoch", 5_000, |w| w.stored("c/epoch").is_some());
+    world.run(1_000);
+    world
+}
+
+/// A job of long tasks, for which machines enough for all of them are rented.
+fn long_job(id: u64, tasks: u32) -> serde_json::Value {
+    let mut job = job(id, tasks);
+    job["CalculoS"] = json!(60.0);
+    job
+}
+
+#[test]
+fn a_job_runs_to_its_end_and_every_controller_says_so() {
+    let mut world = ready();
+    assert_eq!(world.submit(0, &job(1, 6)).status, 201);
+    assert_eq!(world.state(1, 1), (200, "pending".into()));
+    world.until("all tasks", 60_000, |w| w.all_done(1, 6));
+    world.run(3_000);
+    for node in 0..3 {
+        assert_eq!(world.state(node, 1), (200, "done".into()));
+    }
+    assert_eq!(world.submit(2, &job(1, 6)).status, 200);
+    assert_eq!(world.starts.len(), 6, "each task started once");
+    assert!(world.stored("j/j-000001").is_none());
+    world.check();
+}
+
+#[test]
+fn idle_machines_go_back() {
+    let mut world = ready();
+    world.submit(0, &job(1, 3));
+    world.until("all tasks", 60_000, |w| w.all_done(1, 3));
+    world.until("an empty fleet", 90_000, |w| w.workers.is_empty());
+    world.check();
+}
+
+#[test]
+fn no_task_runs_twice_when_the_leader_crashes() {
+    let mut world = ready();
+    world.submit(0, &job(1, 20));
+    world.until("tasks", 30_000, |w| w.running().len() > 4);
+    let leader = world.leader();
+    world.crash(leader);
+    world.run(2_000);
+    world.start(leader);
+    world.until("all tasks", 120_000, |w| w.all_done(1, 20));
+    world.check();
+    assert_eq!(world.starts.len(), 20, "nothing was started again");
+}
+
+#[test]
+fn jobs_survive_the_crash_of_all_controllers() {
+    let mut world = ready();
+    world.submit(0, &job(1, 12));
+    world.until("tasks", 30_000, |w| !w.running().is_empty());
+    (0..3).for_each(|node| world.crash(node));
+    world.run(5_000);
+    (0..3).for_each(|node| world.start(node));
+    world.until("all tasks", 120_000, |w| w.all_done(1, 12));
+    world.run(3_000);
+    assert_eq!(world.state(0, 1), (200, "done".into()));
+    world.check();
+}
+
+// Guards against writes of a former epoch that are applied after the next one has begun.
+#[test]
+fn a_late_transaction_of_a_former_leader_is_refused() {
+    let mut world = ready();
+    world.submit(0, &job(1, 8));
+    let leader = world.leader();
+    world.until("machines", 30_000, |w| !w.workers.is_empty());
+    world.trouble.hold_txns.insert(leader);
+    world.run(8_000);
+    world.crash(leader);
+    world.until("another leader", 20_000, |w| w.leader() != leader);
+    world.run(2_000);
+    world.trouble.hold_txns.clear();
+    let replies = world.release_txns();
+    assert!(!replies.is_empty(), "something was held back");
+    for reply in replies {
+        assert!(matches!(reply, StoreReply::Conflict(_)), "{reply:?}");
+    }
+    world.start(leader);
+    world.until("all tasks", 120_000, |w| w.all_done(1, 8));
+    world.check();
+}
+
+#[test]
+fn a_controller_cut_from_the_state_service_stops_by_itself() {
+    let mut world = ready();
+    world.submit(0, &job(1, 8));
+    world.until("tasks", 30_000, |w| !w.running().is_empty());
+    let leader = world.leader();
+    world.trouble.cut_from_state.insert(leader);
+    world.run(7_000);
+    let report = json!({"Estiba": "i-000000", "Addr": "10.1.0.1:1", "Modelo": "m4", "Patio": "a",
+        "Prestados": true, "Jornada": 9, "Folio": 1, "Vara": 0, "Piezas": []});
+    for machine in 0..12 {
+        let mut report = report.clone();
+        report["Estiba"] = json!(format!("i-{machine:06}"));
+        let body = report.to_string().into_bytes();
+        let reply = world.ask(leader, |request| Event::Report(request, body));
+        assert_ne!(reply.status, 200, "it answered a worker without authority");
+    }
+    let reply = world.submit(leader, &job(2, 1));
+    assert_eq!((reply.status, reply.retry_after_s), (503, Some(1)));
+    world.trouble.cut_from_state.clear();
+    world.until("all tasks", 120_000, |w| w.all_done(1, 8));
+    world.check();
+}
+
+#[test]
+fn a_short_outage_of_the_state_service_costs_no_lease() {
+    let mut world = ready();
+    world.run_ms = 60_000;
+    world.submit(0, &long_job(1, 8));
+    world.until("tasks", 30_000, |w| w.running().len() == 8);
+    world.trouble.state_down = true;
+    world.run(15_000);
+    let reply = world.submit(1, &job(2, 1));
+    assert_eq!((reply.status, reply.retry_after_s), (503, Some(1)));
+    world.trouble.state_down = false;
+    world.until("all tasks", 120_000, |w| w.all_done(1, 8));
+    assert_eq!(world.starts.len(), 8, "no lease ran out");
+    world.check();
+}
+
+#[test]
+fn a_team_stays_within_its_limit_over_all_parts() {
+    let mut world = ready();
+    let mut red = job(1, 40);
+    red["Cuadrilla"] = json!("red");
+    world.submit(0, &red);
+    let mut most = 0;
+    while !world.all_done(1, 40) {
+        world.run(500);
+        most = most.max(world.running().len());
+        assert!(world.now < 300_000, "not in time");
+    }
+    assert_eq!(most, 8, "the limit is used, and kept");
+    world.check();
+}
+
+#[test]
+fn a_cancelled_job_is_gone_for_good() {
+    let mut world = ready();
+    world.submit(0, &job(1, 12));
+    world.until("tasks", 30_000, |w| w.running().len() > 3);
+    assert!(world.withdraw(1, 1).body.contains("aborted"));
+    world.until("none running", 6_000, |w| w.running().is_empty());
+    let started = world.starts.len();
+    let leader = world.leader();
+    world.crash(leader);
+    world.run(1_000);
+    world.start(leader);
+    world.run(30_000);
+    assert_eq!(world.starts.len(), started, "none starts after that");
+    for node in 0..3 {
+        assert_eq!(world.state(node, 1), (200, "aborted".into()));
+    }
+    assert_eq!(world.submit(0, &job(1, 12)).status, 200);
+    world.check();
+}
+
+#[test]
+fn a_cancellation_that_races_the_launch_wins() {
+    let mut world = ready();
+    world.machine("a", true, 0);
+    world.run(4_000);
+    world.submit(0, &job(1, 4));
+    world.withdraw(2, 1);
+    world.run(20_000);
+    assert_eq!(world.running(), vec![]);
+    world.check();
+}
+
+// Guards against telling a user what the store does not know yet.
+#[test]
+fn a_job_is_called_done_only_when_that_is_durable() {
+    let mut world = ready();
+    world.submit(0, &job(1, 2));
+    world.until("tasks", 30_000, |w| w.running().len() == 2);
+    world.run(6_000);
+    world.trouble.hold_txns = (0..3).collect();
+    world.until("all tasks", 30_000, |w| w.all_done(1, 2));
+    world.run(2_000);
+    for node in 0..3 {
+        assert_ne!(world.state(node, 1).1, "done");
+    }
+    world.trouble.hold_txns.clear();
+    world.run(4_000);
+    assert_eq!(world.state(0, 1), (200, "done".into()));
+    world.check();
+}
+
+// Guards against an unanswered order that starts a task again after its attempt was forgotten.
+#[test]
+fn late_direct_orders_start_nothing_a_second_time() {
+    let mut world = ready();
+    world.trouble.hold_orders = true;
+    world.submit(0, &job(1, 8));
+    world.until("all tasks", 120_000, |w| w.all_done(1, 8));
+    world.run(5_000);
+    world.submit(0, &job(2, 3));
+    assert!(world.release_orders() > 0, "something was held back");
+    world.until("all tasks", 60_000, |w| w.all_done(2, 3));
+    world.run(10_000);
+    assert_eq!(world.starts.len(), 11, "{:?}", world.starts);
+    world.check();
+}
+
+#[test]
+fn a_hung_machine_loses_its_tasks_only_after_its_lease() {
+    let mut world = ready();
+    world.run_ms = 20_000;
+    world.submit(0, &job(1, 4));
+    world.until("tasks", 30_000, |w| w.running().len() == 4);
+    let machine = world.starts[0].2.clone();
+    let hung_at = world.now;
+    world.workers.get_mut(&machine).expect("a worker").hung = true;
+    world.until("a second start", 90_000, |w| w.starts.len() > 4);
+    assert!(
+        world.now > hung_at + 16_000,
+        "started before the lease was over"
+    );
+    if let Some(worker) = world.workers.get_mut(&machine) {
+        worker.hung = false;
+    }
+    world.until("all tasks", 120_000, |w| w.all_done(1, 4));
+}
+
+#[test]
+fn zones_of_dependent_tasks_are_kept() {
+    let mut world = ready();
+    for zone in ["a", "b", "a", "b"] {
+        world.machine(zone, true, 0);
+    }
+    world.run(4_000);
+    let mut together = job(1, 8);
+    together["SamePlace"] = json!(true);
+    let mut apart = job(2, 6);
+    apart["Spread"] = json!(true);
+    let mut fixed = job(3, 4);
+    fixed["Patio"] = json!("b");
+    for job in [&together, &apart, &fixed] {
+        assert_eq!(world.submit(0, job).status, 201);
+    }
+    world.until("all tasks", 120_000, |w| {
+        w.all_done(1, 8) && w.all_done(2, 6) && w.all_done(3, 4)
+    });
+    world.check();
+}
+
+// Guards against wide tasks that never find a whole machine while narrow ones keep coming.
+#[test]
+fn a_wide_task_gets_a_machine_by_a_claim() {
+    let mut world = ready();
+    world.capacity = 2;
+    world.run_ms = 3_000;
+    world.submit(0, &job(1, 400));
+    world.until("a full fleet", 40_000, |w| w.running().len() == 8);
+    world.run_ms = 2_700;
+    let mut wide = job(2, 1);
+    wide["Cores"] = json!(4.0);
+    wide["CalculoS"] = json!(3.0);
+    world.submit(0, &wide);
+    world.until("the wide task", 90_000, |w| w.all_done(2, 1));
+    assert!(!world.all_done(1, 400), "the narrow ones were still coming");
+    world.check();
+}
+
+// Guards against a job that fails on every machine keeping the fleet from the others.
+#[test]
+fn a_job_that_always_fails_waits_ever_longer() {
+    let mut world = ready();
+    world.capacity = 1;
+    world.run_ms = 1_000;
+    world.trouble.failing.insert(JobId(1));
+    world.submit(0, &job(1, 1));
+    world.submit(1, &job(2, 30));
+    world.until("the good job", 120_000, |w| w.all_done(2, 30));
+    world.run(60_000);
+    let tries = world.starts.iter().filter(|s| s.1.job == JobId(1)).count();
+    assert!((4..16).contains(&tries), "{tries} tries");
+    assert_eq!(world.state(0, 1).0, 200);
+}
+
+// Guards against a new leader that takes machines for silent because it has not heard of them.
+#[test]
+fn a_new_leader_keeps_machines_older_than_any_boot() {
+    let mut world = ready();
+    world.run_ms = 120_000;
+    world.submit(0, &long_job(1, 8));
+    world.until("tasks", 30_000, |w| w.running().len() == 8);
+    world.run(60_000);
+    let leader = world.leader();
+    world.crash(leader);
+    world.run(10_000);
+    world.start(leader);
+    world.until("all tasks", 120_000, |w| w.all_done(1, 8));
+    assert_eq!(world.starts.len(), 8, "no machine was taken from its tasks");
+    world.check();
+}
+
+#[test]
+fn bad_submissions_are_told_what_is_wrong() {
+    let mut world = ready();
+    let change = |field: &str, value: serde_json::Value| {
+        let mut job = job(7, 2);
+        job[field] = value;
+        job
+    };
+    let malformed = [
+        json!([1]),
+        json!({}),
+        change("Ref", json!("job-7")),
+        change("Piezas", json!(0)),
+        change("Piezas", json!(100_001)),
+        change("Piezas", json!(1.5)),
+        change("Cores", json!(-1.0)),
+        change("Oficio", json!("gang")),
+        change("Spread", json!("no")),
+    ];
+    for job in &malformed {
+        assert_eq!(world.submit(0, job).status, 400, "{job}");
+    }
+    let reply = world.ask(0, |request| Event::Submit(request, b"{not json".to_vec()));
+    assert_eq!(reply.status, 400);
+    let impossible = [
+        change("Cuadrilla", json!("green")),
+        change("Cores", json!(5.0)),
+        change("Modelos", json!(["m5"])),
+        change("Patio", json!("c")),
+        change("Cores", json!(101.0)),
+    ];
+    for job in &impossible {
+        assert_eq!(world.submit(0, job).status, 422, "{job}");
+    }
+    assert_eq!(world.state(0, 7).0, 404);
+    assert_eq!(world.withdraw(0, 7).status, 404);
+    // A known job is answered with its state, whatever else the repeat says.
+    assert_eq!(world.submit(0, &job(7, 2)).status, 201);
+    assert_eq!(world.submit(1, &change("Piezas", json!(0))).status, 200);
+    assert_eq!(
+        world.submit(2, &change("Cuadrilla", json!("green"))).status,
+        200
+    );
+}
