--- a/crates/worksshunt-core/src/fleet.rs
+++ b/crates/worksshunt-core/src/fleet.rs
@@ -526,3 +526,102 @@
         .min(ratio(room.memory_gb, need.memory_gb))
         .min(1e6)
 }
+
+#[cfg(test)]
+mod tests {
+    use std::rc::Rc;
+
+    use super::*;
+
+    fn catalog() -> Catalog {
+        serde_json::from_value(serde_json::json!({"Modelos": [
+            {"Name": "m4", "Cores": 4, "Gpus": 0, "RamGb": 16, "Rate": 1.0, "LowPrice": 0.4,
+             "ReadyS": 10, "Patios": ["a"]}]}))
+        .expect("catalog")
+    }
+
+    fn listed(state: ListedState, age_s: f64) -> ListedMachine {
+        ListedMachine {
+            id: "i-000001".into(),
+            machine_type: "m4".into(),
+            zone: "a".into(),
+            spot: true,
+            state,
+            age_s,
+        }
+    }
+
+    fn demand(tasks: u32) -> Vec<Demand> {
+        let spec = serde_json::from_value(serde_json::json!({
+            "Ref": "j-000001", "Carril": "c", "Cuadrilla": "t", "Oficio": "array",
+            "Turno": "normal", "Piezas": tasks, "Cores": 1.0, "Gpus": 0.0, "RamGb": 1.0,
+            "Molde": "i", "SizeGb": 1.0, "SamePlace": false, "Spread": false, "Prestados": true,
+            "CalculoS": 600.0, "RespaldoS": 0.0, "GuardadoS": 0.0}))
+        .expect("a job");
+        vec![Demand {
+            job: Rc::new(Job {
+                spec,
+                accepted_ms: 0,
+            }),
+            tasks,
+            waiting: tasks,
+            running: 0,
+            running_s: 0.0,
+            zone: None,
+        }]
+    }
+
+    fn plan(fleet: &mut Fleet, now: u64, demand: &[Demand]) -> Vec<CloudRequest> {
+        let rooms = std::iter::empty();
+        let objectives = Objectives::default();
+        fleet.plan(Time(now), &catalog(), rooms, demand, &objectives)
+    }
+
+    // Guards against a new leader that returns machines for being old and not heard of yet.
+    #[test]
+    fn a_machine_that_is_up_counts_as_silent_only_from_its_first_sighting() {
+        let mut fleet = Fleet::new(Epoch(2), Time(0), 5.0);
+        fleet.listed(Time(500_000), &[listed(ListedState::Running, 400.0)]);
+        for now in [501_000, 520_000, 540_000] {
+            assert_eq!(plan(&mut fleet, now, &[]), vec![], "at {now} ms");
+        }
+        plan(&mut fleet, 560_000, &[]);
+        let requests = plan(&mut fleet, 561_000, &[]);
+        assert!(
+            matches!(&requests[..], [CloudRequest::Return(names)] if names.machines.len() == 1),
+            "a machine nobody ever heard of goes back in the end: {requests:?}"
+        );
+    }
+
+    #[test]
+    fn a_machine_that_never_boots_goes_back() {
+        let mut fleet = Fleet::new(Epoch(2), Time(0), 5.0);
+        fleet.listed(Time(100_000), &[listed(ListedState::Starting, 90.0)]);
+        plan(&mut fleet, 100_000, &[]);
+        let requests = plan(&mut fleet, 101_000, &[]);
+        assert!(matches!(&requests[..], [CloudRequest::Return(_)]));
+    }
+
+    #[test]
+    fn spot_machines_come_first_and_ordinary_ones_when_they_are_refused() {
+        let mut fleet = Fleet::new(Epoch(1), Time(0), 5.0);
+        let first = plan(&mut fleet, 0, &demand(8));
+        let [CloudRequest::Rent(first)] = &first[..] else {
+            panic!("{first:?}");
+        };
+        assert!(first.spot && first.count == 2);
+        assert_eq!(plan(&mut fleet, 1_000, &demand(8)), vec![], "one at a time");
+        fleet.rent_unanswered(&first.request);
+        let again = plan(&mut fleet, 2_000, &demand(8));
+        assert_eq!(
+            again,
+            vec![CloudRequest::Rent(first.clone())],
+            "same name, same request"
+        );
+        fleet.rent_refused(Time(3_000), &first.request);
+        let second = plan(&mut fleet, 4_000, &demand(8));
+        assert!(
+            matches!(&second[..], [CloudRequest::Rent(r)] if !r.spot && r.request != first.request)
+        );
+    }
+}
--- a/crates/worksshunt-core/tests/stories.rs
+++ b/crates/worksshunt-core/tests/stories.rs
@@ -86,7 +86,6 @@
     world.run(8_000);
     world.crash(leader);
     world.until("another leader", 20_000, |w| w.leader() != leader);
-    world.run(2_000);
     world.trouble.hold_txns.clear();
     let replies = world.release_txns();
     assert!(!replies.is_empty(), "something was held back");
@@ -206,6 +205,26 @@
     world.check();
 }
 
+// Guards against a worker that forgets a completion the store does not know yet.
+#[test]
+fn a_completion_survives_a_crash_before_it_was_durable() {
+    let mut world = ready();
+    world.submit(0, &job(1, 3));
+    world.until("tasks", 30_000, |w| w.running().len() == 3);
+    world.run(6_000);
+    world.trouble.hold_txns = (0..3).collect();
+    world.until("all tasks", 30_000, |w| w.all_done(1, 3));
+    world.run(4_000);
+    (0..3).for_each(|node| world.crash(node));
+    world.trouble.hold_txns.clear();
+    world.run(5_000);
+    (0..3).for_each(|node| world.start(node));
+    world.run(20_000);
+    assert_eq!(world.state(0, 1), (200, "done".into()));
+    assert_eq!(world.starts.len(), 3, "no work was repeated");
+    world.check();
+}
+
 // Guards against an unanswered order that starts a task again after its attempt was forgotten.
 #[test]
 fn late_direct_orders_start_nothing_a_second_time() {
@@ -303,15 +322,19 @@
 fn a_new_leader_keeps_machines_older_than_any_boot() {
     let mut world = ready();
     world.run_ms = 120_000;
-    world.submit(0, &long_job(1, 8));
-    world.until("tasks", 30_000, |w| w.running().len() == 8);
+    world.submit(0, &long_job(1, 40));
+    world.until("tasks", 30_000, |w| w.running().len() == 40);
     world.run(60_000);
     let leader = world.leader();
     world.crash(leader);
     world.run(10_000);
     world.start(leader);
-    world.until("all tasks", 120_000, |w| w.all_done(1, 8));
-    assert_eq!(world.starts.len(), 8, "no machine was taken from its tasks");
+    world.until("all tasks", 120_000, |w| w.all_done(1, 40));
+    assert_eq!(
+        world.starts.len(),
+        40,
+        "no machine was taken from its tasks"
+    );
     world.check();
 }
 
