--- a/crates/worksshunt-core/src/fleet.rs
+++ b/crates/worksshunt-core/src/fleet.rs
@@ -180,11 +180,7 @@
             if tracked.stage == Stage::Booting {
                 tracked.step(&up.id, Stage::Up);
             }
-            if up.empty {
-                tracked.idle_since.get_or_insert(now);
-            } else {
-                tracked.idle_since = None;
-            }
+            tracked.idle_since = up.idle_ms.map(|idle| now - idle);
         }
     }
 
@@ -358,7 +354,7 @@
     ) -> Option<MachineNames> {
         let empty: BTreeSet<&MachineId> = rooms
             .iter()
-            .filter(|(m, _)| m.empty && !m.usable)
+            .filter(|(m, _)| m.idle_ms.is_some() && !m.usable)
             .map(|(m, _)| &m.id)
             .collect();
         let mut names = Vec::new();
--- a/crates/worksshunt-core/src/machines.rs
+++ b/crates/worksshunt-core/src/machines.rs
@@ -170,6 +170,8 @@
     /// The worker lists tasks that are on no record.
     foreign: bool,
     held: BTreeMap<Attempt, Held>,
+    /// Since when nothing is on it, as of the last exchange with the leader.
+    empty_since: Option<Time>,
     /// Attempts on the durable record.
     recorded: BTreeSet<Attempt>,
     /// Since when the record lists attempts that are gone.
@@ -192,6 +194,7 @@
             claimed: false,
             foreign: false,
             held: BTreeMap::new(),
+            empty_since: None,
             recorded: BTreeSet::new(),
             stale_since: None,
         }
@@ -1013,6 +1016,13 @@
     pub fn sync_up(&mut self, now: Time, epoch: Epoch, from: &NodeName) -> SyncUp {
         self.changed = false;
         self.failures_sent = self.failures.len();
+        for machine in self.machines.values_mut() {
+            if machine.held.is_empty() {
+                machine.empty_since.get_or_insert(now);
+            } else {
+                machine.empty_since = None;
+            }
+        }
         let machines = self
             .machines
             .iter()
@@ -1025,7 +1035,7 @@
                     zone: info.zone.clone(),
                     spot: info.spot,
                     usable: machine.usable(now, self.silent_ms),
-                    empty: machine.held.is_empty(),
+                    idle_ms: machine.empty_since.map(|since| now.since(since)),
                     cpus: free.cpus,
                     gpus: free.gpus,
                     memory_gb: free.memory_gb,
--- a/crates/worksshunt-wire/src/peer.rs
+++ b/crates/worksshunt-wire/src/peer.rs
@@ -48,8 +48,8 @@
     pub spot: bool,
     /// Whether it may take tasks now.
     pub usable: bool,
-    /// Whether nothing is, or may be, on it.
-    pub empty: bool,
+    /// Since how many milliseconds nothing is, or may be, on it; none if something may be.
+    pub idle_ms: Option<u64>,
     /// Free processors.
     pub cpus: f64,
     /// Free accelerators.
