Health by what peers say of the state service

Now a controller whose state service is silent for 1.8 s asks its peers: if one is better off it is unhealthy at once, and if none is it stays healthy however long.

--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -62,8 +62,18 @@
 /// Bytes of one transaction, kept below the state service's 64 KiB.
 pub const TXN_BYTES: usize = 48 * 1024;
 
-/// Milliseconds without an answer of the state service after which a controller is not healthy.
-/// Outages that all controllers share are mostly shorter, and a mass removal would outlast them.
+/// Milliseconds without an answer of the state service after which a controller asks its peers
+/// whether they are better off: longer than an ordinary slow answer.
+pub const STORE_DOUBT_MS: u64 = 1_800;
+
+/// Milliseconds between such questions.
+pub const STORE_ASK_MS: u64 = 1_000;
+
+/// Milliseconds a peer's word on the state service counts.
+pub const STORE_WORD_MS: u64 = 3_500;
+
+/// Milliseconds without an answer of the state service, nor a word from any peer, after which a
+/// controller is not healthy.
 pub const HEALTH_STORE_MS: u64 = 12_000;
 
 /// Milliseconds without an answer of the state service after which user requests are refused at
--- a/crates/worksshunt-core/src/controller.rs
+++ b/crates/worksshunt-core/src/controller.rs
@@ -161,8 +161,10 @@
     Ordered(DirectOrders, OrdersReply),
     /// A peer asks.
     Peer(RequestId, PeerRequest),
-    /// A peer answered; none: it did not.
+    /// A peer answered an exchange; none: it did not.
     PeerAnswer(Option<PeerAnswer>),
+    /// A peer told whether it reaches the state service.
+    PeerStore(bool),
 }
 
 /// What a controller does.
@@ -256,6 +258,10 @@
     batch_turn: Periodic,
     writes: Bucket,
     store_heard: Time,
+    doubt_turn: Periodic,
+    /// When a peer last said that the state service answers it, and that it does not.
+    peer_well: Option<Time>,
+    peer_unwell: Option<Time>,
     reach_retry: Time,
     reach_retry_ms: u64,
     hold_turn: Periodic,
@@ -303,6 +309,9 @@
             batch_turn: Periodic::default(),
             writes: Bucket::new(write_rate, write_rate.max(facts.state.txn_ops as f64)),
             store_heard: Time::default(),
+            doubt_turn: Periodic::default(),
+            peer_well: None,
+            peer_unwell: None,
             reach_retry: Time::default(),
             reach_retry_ms: REACH_RETRY_MS,
             hold_turn: Periodic::default(),
@@ -366,6 +375,18 @@
                 };
                 out.push(Action::PeerReply(request, answer));
             }
+            Event::Peer(request, PeerRequest::StoreHealth) => {
+                let well = now.steady.since(self.store_heard) < STORE_DOUBT_MS;
+                out.push(Action::PeerReply(request, PeerAnswer::StoreHealth(well)));
+            }
+            Event::PeerStore(well) => {
+                let word = if well {
+                    &mut self.peer_well
+                } else {
+                    &mut self.peer_unwell
+                };
+                *word = Some(now.steady);
+            }
             Event::PeerAnswer(answer) => {
                 self.sync_turn.in_flight = false;
                 match answer {
@@ -397,21 +418,39 @@
         }
     }
 
+    /// A controller that alone has lost the state service should get no users; when all have lost
+    /// it, taking them all out of service helps nobody, since coming back is slow.
     fn health(&self, now: Time) -> Reply {
-        let able = self.mirror.loaded() && self.catalog.is_some();
-        if able && now.since(self.store_heard) < HEALTH_STORE_MS {
+        let silent_ms = now.since(self.store_heard);
+        let lately = |word: Option<Time>| word.is_some_and(|at| now.since(at) < STORE_WORD_MS);
+        let store = silent_ms < STORE_DOUBT_MS
+            || (!lately(self.peer_well)
+                && (silent_ms < HEALTH_STORE_MS || lately(self.peer_unwell)));
+        if self.mirror.loaded() && self.catalog.is_some() && store {
             Reply::json(200, &serde_json::json!({ "healthy": true }))
         } else {
             Reply::later("not ready")
         }
     }
 
+    /// Asks the peers when the state service is silent here.
+    fn doubt_turn(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now.since(self.store_heard) >= STORE_DOUBT_MS && self.doubt_turn.due(now) {
+            self.doubt_turn.next = now + STORE_ASK_MS;
+            for peer in &self.settings.known {
+                let to = peer.host_name.clone();
+                out.push(Action::Peer(to, PeerRequest::StoreHealth));
+            }
+        }
+    }
+
     // --- time -----------------------------------------------------------------------------------
 
     fn tick(&mut self, now: Now, budget: &Budget, out: &mut Vec<Action>) {
         let t = now.steady;
         self.membership_turns(t, out);
         self.mirror_turns(t, out);
+        self.doubt_turn(t, out);
         if self.catalog_turn.due(t) {
             if self.catalog.is_none() {
                 store(out, StoreTag::Catalog, StoreOp::Get(CATALOG_KEY.to_owned()));
--- a/crates/worksshunt-core/tests/stories.rs
+++ b/crates/worksshunt-core/tests/stories.rs
@@ -122,6 +122,22 @@
     world.check();
 }
 
+// Guards against users sent to the one controller that cannot serve them, and against all being
+// taken out of service by an outage that none of them can help.
+#[test]
+fn only_a_controller_that_lost_the_state_service_alone_is_unhealthy() {
+    let mut world = ready();
+    world.trouble.cut_from_state.insert(1);
+    world.run(4_500);
+    assert_eq!([0, 1, 2].map(|n| world.healthy(n)), [true, false, true]);
+    world.trouble.cut_from_state.clear();
+    world.run(5_000);
+    assert!(world.healthy(1));
+    world.trouble.state_down = true;
+    world.run(40_000);
+    assert_eq!([0, 1, 2].map(|n| world.healthy(n)), [true; 3]);
+}
+
 #[test]
 fn a_short_outage_of_the_state_service_costs_no_lease() {
     let mut world = ready();
--- a/crates/worksshunt-core/tests/world/mod.rs
+++ b/crates/worksshunt-core/tests/world/mod.rs
@@ -16,7 +16,7 @@
 use worksshunt_core::time::{Now, Time};
 use worksshunt_core::users::{Reply, RequestId};
 use worksshunt_wire::cloud::{Catalog, ListedMachine, ListedState, MachineList, MachineNames};
-use worksshunt_wire::peer::PeerAnswer;
+use worksshunt_wire::peer::{PeerAnswer, PeerRequest};
 use worksshunt_wire::settings::Settings;
 use worksshunt_wire::state::{Change, Changes, Listing, Pair, Txn, WatchEvent};
 use worksshunt_wire::user::JobSpec;
@@ -212,13 +212,7 @@
     Dispatch(usize, u64, Box<Event>),
     Store(usize, u64, StoreTag, StoreOp, Time, u64),
     Cloud(usize, u64, CloudRequest),
-    PeerAsk(
-        usize,
-        u64,
-        usize,
-        RequestId,
-        worksshunt_wire::peer::PeerRequest,
-    ),
+    PeerAsk(usize, u64, usize, RequestId, PeerRequest),
     PeerSilence(usize, u64, u64),
     Orders(usize, u64, DirectOrders),
     Worker(MachineId),
@@ -463,6 +457,11 @@
         (reply.status, state)
     }
 
+    /// Whether a controller calls itself healthy.
+    pub fn healthy(&mut self, node: usize) -> bool {
+        self.ask(node, Event::Health).status == 200
+    }
+
     /// Cancels a job.
     pub fn withdraw(&mut self, node: usize, id: u64) -> Reply {
         let text = JobId(id).to_string();
@@ -546,9 +545,11 @@
             Action::Peer(to, request) => {
                 let to: usize = to.0[1..].parse().expect("a number");
                 let id = self.request();
+                if let PeerRequest::Sync(_) = request {
+                    let silence = Happening::PeerSilence(node, life, id.0);
+                    self.at(self.now + SYNC_DEADLINE_MS, silence);
+                }
                 self.at(hop, Happening::PeerAsk(node, life, to, id, request));
-                let silence = Happening::PeerSilence(node, life, id.0);
-                self.at(self.now + SYNC_DEADLINE_MS, silence);
             }
             Action::PeerReply(request, answer) => self.answer_peer(node, life, request, answer),
             Action::Reply(request, reply) => match self.waiting.remove(&(node, life, request)) {
@@ -566,7 +567,10 @@
         if let Some(Waiting::Peer(asker, asker_life, _)) =
             self.waiting.remove(&(node, life, request))
         {
-            let event = Box::new(Event::PeerAnswer(Some(answer)));
+            let event = Box::new(match answer {
+                PeerAnswer::StoreHealth(well) => Event::PeerStore(well),
+                answer => Event::PeerAnswer(Some(answer)),
+            });
             let what = Happening::Dispatch(asker, asker_life, event);
             self.at(self.now + HOP_MS, what);
         }
--- a/crates/worksshunt-wire/src/peer.rs
+++ b/crates/worksshunt-wire/src/peer.rs
@@ -131,6 +131,8 @@
 pub enum PeerRequest {
     /// A part's state.
     Sync(SyncUp),
+    /// Whether the peer reaches the state service.
+    StoreHealth,
 }
 
 /// An answer on the peer link.
@@ -140,4 +142,6 @@
     Sync(SyncDown),
     /// Not the leader of that epoch.
     NotLeader,
+    /// Whether the state service answered the peer lately.
+    StoreHealth(bool),
 }
--- a/crates/worksshunt/src/service.rs
+++ b/crates/worksshunt/src/service.rs
@@ -215,17 +215,25 @@
                     .spawn(async move {
                         let deadline = Duration::from_millis(SYNC_DEADLINE_MS);
                         let answer = match this.peers.get(&to) {
-                            Some(peer) => peer.call(&request, deadline).await,
+                            Some(peer) => peer
+                                .call(&request, deadline)
+                                .await
+                                .inspect_err(|error| tracing::debug!(peer = %to, %error, "peer"))
+                                .ok(),
                             None => {
                                 tracing::error!(peer = %to, "not among the known controllers");
-                                this.dispatch(Event::PeerAnswer(None));
-                                return;
+                                None
                             }
                         };
-                        let answer = answer
-                            .inspect_err(|error| tracing::debug!(peer = %to, %error, "peer"))
-                            .ok();
-                        this.dispatch(Event::PeerAnswer(answer));
+                        match (request, answer) {
+                            (PeerRequest::Sync(_), answer) => {
+                                this.dispatch(Event::PeerAnswer(answer));
+                            }
+                            (PeerRequest::StoreHealth, Some(PeerAnswer::StoreHealth(well))) => {
+                                this.dispatch(Event::PeerStore(well));
+                            }
+                            (PeerRequest::StoreHealth, _) => {}
+                        }
                     })
                     .detach();
             }
