Preemption for priority and for a team's guarantee

Stops the tasks that lose least work on one machine, for tasks stuck 3 s, and only when something expected of the waiting job would be missed within 10 s; what would be served first anyway is not stopped.

--- a/crates/worksshunt-core/src/allotment.rs
+++ b/crates/worksshunt-core/src/allotment.rs
@@ -8,17 +8,18 @@
 
 use serde_json::Value;
 use worksshunt_wire::peer::{Failure, Give, MachineUp, Phase, SyncDown, SyncUp};
-use worksshunt_wire::settings::Team;
+use worksshunt_wire::settings::Facts;
 use worksshunt_wire::state::Pair;
 use worksshunt_wire::user::{JobState, Priority};
 use worksshunt_wire::{Attempt, Epoch, JobId, MachineId, NodeName, TaskId};
 
 use crate::constants::{
     ATTEMPTS_PER_EPOCH, CLAIMS_AT_ONCE, CLAIM_AFTER_MS, ERRORS_BEFORE_BACKOFF,
-    ERROR_BACKOFF_MAX_MS, ERROR_BACKOFF_MS, LEFT_AT_LEAST,
+    ERROR_BACKOFF_MAX_MS, ERROR_BACKOFF_MS, LEFT_AT_LEAST, PREEMPT_AFTER_MS,
 };
 use crate::jobs::{parse_done_key, DoneSet, Job, Mirror};
 use crate::machines::{read_record, record_machine};
+use crate::objectives::Objectives;
 use crate::placement::{owner, Room};
 use crate::quota::Quota;
 use crate::time::{Budget, Now, Time};
@@ -102,6 +103,8 @@
     machine: Option<MachineId>,
     zone: Option<String>,
     claimed: Option<MachineId>,
+    /// It is to be stopped, to make room.
+    preempted: bool,
 }
 
 const UNSENT: u64 = u64::MAX;
@@ -170,6 +173,7 @@
     epoch: Epoch,
     attempts: u64,
     quota: Quota,
+    objectives: Objectives,
     jobs: BTreeMap<JobId, Work>,
     outs: BTreeMap<Attempt, Out>,
     parts: BTreeMap<NodeName, PartView>,
@@ -187,7 +191,7 @@
     pub fn load(
         epoch: Epoch,
         members: &[NodeName],
-        teams: &[Team],
+        facts: &Facts,
         mirror: &Mirror,
         records: &[Pair],
         done: &[Pair],
@@ -196,7 +200,8 @@
         let mut this = Allotment {
             epoch,
             attempts: 0,
-            quota: Quota::new(teams),
+            quota: Quota::new(&facts.teams),
+            objectives: Objectives::new(&facts.objectives),
             jobs: BTreeMap::new(),
             outs: BTreeMap::new(),
             parts: members
@@ -248,6 +253,7 @@
                         machine: Some(machine.clone()),
                         zone: None,
                         claimed: None,
+                        preempted: false,
                     },
                 );
             }
@@ -381,6 +387,7 @@
                         machine: None,
                         zone: None,
                         claimed: None,
+                        preempted: false,
                     },
                 );
             }
@@ -437,8 +444,8 @@
                 if self.is_durable(task) {
                     durable.push(attempt);
                 }
-            } else if !self.wanted(task) {
-                // The task is done already, or its job is over.
+            } else if !self.wanted(task) || self.outs.get(&attempt).is_some_and(|o| o.preempted) {
+                // The task is done already, its job is over, or it has to make room.
                 stops.push(attempt);
             }
         }
@@ -662,6 +669,7 @@
                 machine: None,
                 zone,
                 claimed,
+                preempted: false,
             },
         );
         true
@@ -848,6 +856,135 @@
         }
     }
 
+    /// Stops tasks to make room for waiting ones that have found none for a while: work of lower
+    /// priority, and work that another team runs beyond its guarantee for a team within its own.
+    /// What would be served before the waiting task anyway is never stopped for it, so nothing is
+    /// stopped twice in a row.
+    pub fn preempt(&mut self, now: Now) {
+        let mut rooms: BTreeMap<MachineId, (MachineUp, Room)> = self
+            .rooms()
+            .filter(|(m, _)| m.usable && !m.noticed && !self.claims.contains_key(&m.id))
+            .map(|(m, room)| (m.id.clone(), (m.clone(), *room)))
+            .collect();
+        // Room that earlier stops will leave.
+        for out in self.outs.values().filter(|out| out.preempted) {
+            let room = out.machine.as_ref().and_then(|id| rooms.get_mut(id));
+            if let (Some((_, room)), Some(job)) = (room, &out.job) {
+                if out.phase != Phase::Completed {
+                    room.give_back(&Room::of_job(job));
+                }
+            }
+        }
+        let mut stuck: Vec<(std::cmp::Reverse<Priority>, u64, Rc<Job>, u32)> = self
+            .jobs
+            .values()
+            .filter(|work| {
+                work.stuck_since
+                    .is_some_and(|since| now.steady.since(since) >= PREEMPT_AFTER_MS)
+                    && !work.job.zones_matter()
+            })
+            .map(|work| {
+                let job = Rc::clone(&work.job);
+                (
+                    std::cmp::Reverse(job.spec.priority),
+                    job.accepted_ms,
+                    job,
+                    work.waiting(),
+                )
+            })
+            .collect();
+        stuck.sort_by_key(|(priority, accepted_ms, _, _)| (*priority, *accepted_ms));
+        let mut quota = self.quota.clone();
+        for (_, _, job, waiting) in stuck {
+            for _ in 0..waiting {
+                let guaranteed = quota.guarantees(&job);
+                if !quota.admits(&job)
+                    || !self.objectives.pressing(&job, now.wall_ms, guaranteed)
+                    || !self.preempt_for(&job, &mut quota, &mut rooms)
+                {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Makes room for one task of the job where that loses least work; false if nothing can.
+    fn preempt_for(
+        &mut self,
+        job: &Job,
+        quota: &mut Quota,
+        rooms: &mut BTreeMap<MachineId, (MachineUp, Room)>,
+    ) -> bool {
+        let need = Room::of_job(job);
+        let guaranteed = quota.guarantees(job);
+        let mut victims: BTreeMap<&MachineId, Vec<(u64, Attempt, &Rc<Job>)>> = BTreeMap::new();
+        for (attempt, out) in &self.outs {
+            let (Some(machine), Some(other)) = (&out.machine, &out.job) else {
+                continue;
+            };
+            let over = !quota.within_guarantee(&other.spec.team);
+            let lower = other.spec.priority < job.spec.priority;
+            let may = (guaranteed && over && other.spec.team != job.spec.team)
+                || (lower && (guaranteed || over));
+            if may && !out.preempted && out.phase != Phase::Completed {
+                let loses_ms = match other.spec.checkpoint_s {
+                    every if every > 0.0 => out.ran_ms.min((every * 1_000.0) as u64),
+                    _ => out.ran_ms,
+                };
+                let list = victims.entry(machine).or_default();
+                list.push((loses_ms, *attempt, other));
+            }
+        }
+        let mut best: Option<(u64, MachineId, Vec<Attempt>)> = None;
+        for (id, (machine, room)) in rooms.iter() {
+            if !job.allows(&machine.machine_type, &machine.zone, machine.spot) {
+                continue;
+            }
+            let mut room = *room;
+            let mut cost = 0;
+            let mut chosen = Vec::new();
+            let mut after = quota.clone();
+            let mut list = victims.remove(id).unwrap_or_default();
+            list.sort_unstable_by_key(|(loses_ms, attempt, _)| (*loses_ms, *attempt));
+            for (loses_ms, attempt, other) in list {
+                if room.holds(&need) {
+                    break;
+                }
+                // Those before it may have brought its team back within its guarantee.
+                let over = !after.within_guarantee(&other.spec.team);
+                if !over && !(guaranteed && other.spec.priority < job.spec.priority) {
+                    continue;
+                }
+                after.give_back(other);
+                room.give_back(&Room::of_job(other));
+                cost += loses_ms;
+                chosen.push(attempt);
+            }
+            if room.holds(&need) && best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
+                best = Some((cost, id.clone(), chosen));
+            }
+        }
+        let Some((cost, id, chosen)) = best else {
+            return false;
+        };
+        quota.take(job);
+        for attempt in chosen {
+            let Some(out) = self.outs.get_mut(&attempt) else {
+                continue;
+            };
+            out.preempted = true;
+            if let (Some((_, room)), Some(other)) = (rooms.get_mut(&id), &out.job) {
+                room.give_back(&Room::of_job(other));
+                quota.give_back(other);
+            }
+            tracing::debug!(task = %out.task, machine = %id, lost_ms = cost, job = %job.spec.id, "preempted");
+        }
+        if let Some((_, room)) = rooms.get_mut(&id) {
+            room.take(&need);
+        }
+        true
+    }
+
     fn release(&mut self, machine: &MachineId) {
         if let Some(claim) = self.claims.get_mut(machine) {
             claim.state = ClaimState::Releasing;
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -135,6 +135,14 @@
 /// Claims the leader holds at a time: enough to unblock wide tasks, few enough not to idle a fleet.
 pub const CLAIMS_AT_ONCE: usize = 4;
 
+/// Milliseconds a task waits without any part having room before others are stopped for it. On a
+/// busy fleet a task ends every second or so, which costs nothing.
+pub const PREEMPT_AFTER_MS: u64 = 3_000;
+
+/// Seconds before the last moment at which a waiting task can start in time, from which on others
+/// are stopped for it: enough for a stop, a fetch and two reports.
+pub const PRESSING_S: f64 = 10.0;
+
 /// Failures of a job after which its tasks wait between tries.
 pub const ERRORS_BEFORE_BACKOFF: u32 = 3;
 
--- a/crates/worksshunt-core/src/controller.rs
+++ b/crates/worksshunt-core/src/controller.rs
@@ -731,6 +731,7 @@
         }
         if self.fleet_turn.due(t) && leader.allotment.all_heard() {
             self.fleet_turn.next = t + FLEET_EVERY_MS;
+            leader.allotment.preempt(now);
             if self.catalog_kept.is_none() {
                 let txn = Txn {
                     conditions: self.membership.condition().into_iter().collect(),
@@ -924,7 +925,7 @@
                 allotment: Allotment::load(
                     epoch.number,
                     &names,
-                    &self.settings.facts.teams,
+                    &self.settings.facts,
                     &self.mirror,
                     &load.records,
                     &load.done,
--- a/crates/worksshunt-core/src/machines.rs
+++ b/crates/worksshunt-core/src/machines.rs
@@ -515,10 +515,12 @@
                         held.step(HeldState::Completed);
                         if let (Some(job), false) = (&held.job, held.inherited) {
                             let held_s = now.since(held.placed_at) as f64 / 1_000.0;
+                            let estimate_s = job.spec.estimate_s;
+                            tracing::debug!(task = %held.task, machine = %id, held_s, estimate_s, "completed");
                             self.speeds
                                 .entry(id.clone())
                                 .or_insert(Speed::UNMEASURED)
-                                .learn(job.spec.estimate_s, held_s, self.parameters.start_speed);
+                                .learn(estimate_s, held_s, self.parameters.start_speed);
                         }
                         if let Some(band) = held.over_capacity.take() {
                             self.over_capacity.ended(band, Outcome::Completed);
--- a/crates/worksshunt-core/src/objectives.rs
+++ b/crates/worksshunt-core/src/objectives.rs
@@ -4,7 +4,7 @@
 
 use worksshunt_wire::settings::Objective;
 
-use crate::constants::{SLACK_DEFAULT_S, SLACK_LEAST_S, SLACK_MOST_S};
+use crate::constants::{PRESSING_S, SLACK_DEFAULT_S, SLACK_LEAST_S, SLACK_MOST_S};
 use crate::jobs::Job;
 
 #[derive(Debug, Clone, Default)]
@@ -21,13 +21,19 @@
 #[derive(Debug, Clone, Default)]
 pub struct Objectives {
     classes: BTreeMap<String, Class>,
+    /// Seconds within which work within a guarantee should start.
+    guarantee_s: Option<f64>,
 }
 
 impl Objectives {
     /// Reads the settings' list.
     pub fn new(list: &[Objective]) -> Objectives {
         let mut classes: BTreeMap<String, Class> = BTreeMap::new();
+        let mut guarantee_s = None;
         for objective in list {
+            if objective.kind == "guarantee" {
+                guarantee_s = objective.within_s;
+            }
             let Some(name) = &objective.class else {
                 continue;
             };
@@ -39,7 +45,10 @@
                 _ => {}
             }
         }
-        Objectives { classes }
+        Objectives {
+            classes,
+            guarantee_s,
+        }
     }
 
     /// Seconds after acceptance by which the job should be done, each of them, ascending.
@@ -56,6 +65,26 @@
         all
     }
 
+    /// Whether something expected of the job can still be met, but not for much longer if its tasks
+    /// go on waiting. A job of which nothing is expected is always pressing.
+    pub fn pressing(&self, job: &Job, wall_ms: u64, guaranteed: bool) -> bool {
+        let age_s = wall_ms.saturating_sub(job.accepted_ms) as f64 / 1_000.0;
+        let class = self.classes.get(&job.spec.class);
+        let mut starts: Vec<f64> = self
+            .milestones(job)
+            .into_iter()
+            .map(|milestone| milestone - job.spec.estimate_s)
+            .chain(class.and_then(|class| class.start_s))
+            .collect();
+        if guaranteed {
+            starts.extend(self.guarantee_s);
+        }
+        starts.is_empty()
+            || starts
+                .iter()
+                .any(|start| (0.0..=PRESSING_S).contains(&(start - age_s)))
+    }
+
     /// Seconds a task of the job may wait, counted from acceptance, for the first thing expected
     /// of the job to be met.
     pub fn slack_s(&self, job: &Job) -> f64 {
--- a/crates/worksshunt-core/src/quota.rs
+++ b/crates/worksshunt-core/src/quota.rs
@@ -64,6 +64,14 @@
         used.cpus + job.spec.cpus <= cpus + ROUNDING && used.gpus + job.spec.gpus <= gpus + ROUNDING
     }
 
+    /// Whether all that a team uses lies within its guarantee.
+    pub fn within_guarantee(&self, name: &TeamName) -> bool {
+        let used = self.used(name);
+        self.teams.get(name).is_none_or(|team| {
+            used.cpus <= team.cpus + ROUNDING && used.gpus <= team.gpus + ROUNDING
+        })
+    }
+
     /// Counts one more task of the job.
     pub fn take(&mut self, job: &Job) {
         let used = self.used.entry(job.spec.team.clone()).or_default();
--- a/crates/worksshunt-core/tests/stories.rs
+++ b/crates/worksshunt-core/tests/stories.rs
@@ -350,6 +350,60 @@
     world.check();
 }
 
+/// A full fleet of two machines, run by team blue (guarantee 8) at low priority.
+fn full_fleet(tasks: u32) -> World {
+    let mut world = ready();
+    world.capacity = 3;
+    world.run_ms = 100_000;
+    let mut low = long_job(1, tasks);
+    low["Turno"] = json!("low");
+    world.submit(0, &low);
+    world.until("a full fleet", 40_000, |w| w.running().len() == 12);
+    world
+}
+
+#[test]
+fn urgent_work_stops_low_work() {
+    let mut world = full_fleet(12);
+    let mut urgent = long_job(2, 2);
+    urgent["Turno"] = json!("urgent");
+    world.submit(0, &urgent);
+    world.until("the urgent job", 10_000, |w| {
+        w.running().iter().filter(|t| t.job == JobId(2)).count() == 2
+    });
+    world.run(20_000);
+    let low = world.running().iter().filter(|t| t.job == JobId(1)).count();
+    assert_eq!(low, 10, "no more was stopped than needed");
+    world.check();
+}
+
+#[test]
+fn a_team_gets_its_guarantee_back_and_no_more() {
+    let mut world = full_fleet(12);
+    let mut red = long_job(2, 8);
+    red["Cuadrilla"] = json!("red");
+    red["Turno"] = json!("low");
+    world.submit(0, &red);
+    world.run(30_000);
+    let red = world.running().iter().filter(|t| t.job == JobId(2)).count();
+    assert_eq!(
+        red, 4,
+        "its guarantee, at blue's cost, which runs 12 of its 8"
+    );
+    world.check();
+}
+
+#[test]
+fn work_does_not_stop_its_equals() {
+    let mut world = full_fleet(12);
+    let mut same = long_job(2, 4);
+    same["Turno"] = json!("low");
+    world.submit(0, &same);
+    world.run(30_000);
+    assert_eq!(world.starts.len(), 12);
+    world.check();
+}
+
 // Guards against wide tasks that never find a whole machine while narrow ones keep coming.
 #[test]
 fn a_wide_task_gets_a_machine_by_a_claim() {
