--- a/crates/worksshunt-core/src/allotment.rs
+++ b/crates/worksshunt-core/src/allotment.rs
@@ -139,6 +139,9 @@
     state: ClaimState,
 }
 
+/// A task that may be stopped for another: the work that would lose (ms), its attempt, its job.
+type Victim<'a> = (u64, Attempt, &'a Rc<Job>);
+
 /// What the leader wants written.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Due {
@@ -917,7 +920,7 @@
     ) -> bool {
         let need = Room::of_job(job);
         let guaranteed = quota.guarantees(job);
-        let mut victims: BTreeMap<&MachineId, Vec<(u64, Attempt, &Rc<Job>)>> = BTreeMap::new();
+        let mut victims: BTreeMap<&MachineId, Vec<Victim>> = BTreeMap::new();
         for (attempt, out) in &self.outs {
             let (Some(machine), Some(other)) = (&out.machine, &out.job) else {
                 continue;
@@ -952,7 +955,8 @@
                 }
                 // Those before it may have brought its team back within its guarantee.
                 let over = !after.within_guarantee(&other.spec.team);
-                if !over && !(guaranteed && other.spec.priority < job.spec.priority) {
+                let lower = other.spec.priority < job.spec.priority;
+                if !over && !(guaranteed && lower) {
                     continue;
                 }
                 after.give_back(other);
