--- a/crates/worksshunt-core/src/allotment.rs
+++ b/crates/worksshunt-core/src/allotment.rs
@@ -956,7 +956,8 @@
                 // Those before it may have brought its team back within its guarantee.
                 let over = !after.within_guarantee(&other.spec.team);
                 let lower = other.spec.priority < job.spec.priority;
-                if !over && !(guaranteed && lower) {
+                let may = over || (guaranteed && lower);
+                if !may {
                     continue;
                 }
                 after.give_back(other);
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -38,7 +38,7 @@
 pub const ADMIT_AFTER_READS: u32 = 2;
 
 /// Milliseconds between exchanges of an owner with the leader when nothing presses.
-pub const SYNC_EVERY_MS: u64 = 250;
+pub const SYNC_EVERY_MS: u64 = 500;
 
 /// Milliseconds between exchanges when something has changed.
 pub const SYNC_PRESSING_MS: u64 = 50;
