--- a/crates/worksshunt-core/src/jobs.rs
+++ b/crates/worksshunt-core/src/jobs.rs
@@ -441,3 +441,73 @@
     let (id, chunk) = key.strip_prefix(DONE)?.split_once('/')?;
     Some((id.parse().ok()?, chunk.parse().ok()?))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn completed_tasks_survive_the_store_in_chunks() {
+        let mut done = DoneSet::new(MAX_TASKS);
+        let indexes = [0, 7, DONE_CHUNK - 1, DONE_CHUNK, MAX_TASKS - 1];
+        for index in indexes {
+            assert!(done.insert(index));
+            assert!(!done.insert(index), "only once");
+        }
+        assert!(!done.insert(MAX_TASKS), "no such task");
+        done.count_zone("a");
+        let mut read = DoneSet::new(MAX_TASKS);
+        for chunk in 0..done.chunks() {
+            let record = done.record(chunk);
+            assert!(record.to_string().len() < 4_096, "fits any value limit");
+            assert!(read.load(chunk, &record));
+        }
+        assert_eq!(read.count(), 5);
+        assert!(indexes.iter().all(|index| read.contains(*index)));
+        assert_eq!(read.zones(), done.zones());
+        assert!(
+            !read.load(0, &serde_json::json!({ "bits": "AAAA" })),
+            "wrong length"
+        );
+    }
+
+    // Guards against an overtaken answer of the watch that brings back a job that is over.
+    #[test]
+    fn the_mirror_takes_overlapping_answers_in_any_order() {
+        let spec = serde_json::json!({
+            "Ref": "j-000001", "Carril": "c", "Cuadrilla": "t", "Oficio": "array",
+            "Turno": "normal", "Piezas": 1, "Cores": 1.0, "Gpus": 0.0, "RamGb": 1.0,
+            "Molde": "i", "SizeGb": 1.0, "SamePlace": false, "Spread": false, "Prestados": true,
+            "CalculoS": 600.0, "RespaldoS": 0.0, "GuardadoS": 0.0});
+        let put = WatchEvent::Put {
+            key: "j/j-000001".into(),
+            value: serde_json::json!({ "spec": spec, "at": 0 }),
+            version: Revision(5),
+        };
+        let delete = WatchEvent::Delete {
+            key: "j/j-000001".into(),
+            version: Revision(6),
+        };
+        let answer = |revision, events: &[&WatchEvent]| Changes {
+            revision: Revision(revision),
+            events: events.iter().map(|e| (*e).clone()).collect(),
+        };
+        let mut mirror = Mirror::default();
+        mirror.load(&Listing {
+            pairs: Vec::new(),
+            more: false,
+            revision: Revision(4),
+        });
+        let changes = mirror.apply(&answer(6, &[&put, &delete]));
+        assert_eq!(
+            changes,
+            [
+                MirrorChange::Opened(JobId(1)),
+                MirrorChange::Closed(JobId(1))
+            ]
+        );
+        assert_eq!(mirror.apply(&answer(5, &[&put])), []);
+        assert!(mirror.get(JobId(1)).is_none());
+        assert_eq!(mirror.revision(), Some(Revision(6)));
+    }
+}
--- a/crates/worksshunt-core/tests/stories.rs
+++ b/crates/worksshunt-core/tests/stories.rs
@@ -459,6 +459,32 @@
     world.check();
 }
 
+#[test]
+fn the_largest_job_runs_and_can_be_cancelled() {
+    let mut world = ready();
+    world.run_ms = 1_000;
+    world.submit(0, &job(1, 100_000));
+    world.until("many tasks", 120_000, |w| w.starts.len() > 500);
+    let mut urgent = job(2, 10);
+    urgent["Turno"] = json!("urgent");
+    world.submit(1, &urgent);
+    world.until("the urgent job too", 120_000, |w| w.all_done(2, 10));
+    let leader = world.leader();
+    world.crash(leader);
+    world.run(10_000);
+    world.start(leader);
+    world.run(10_000);
+    let starts = world.starts.len();
+    world.run(5_000);
+    assert!(
+        world.starts.len() > starts,
+        "it goes on under another leader"
+    );
+    assert_eq!(world.withdraw(leader, 1).status, 200);
+    world.until("none running", 10_000, |w| w.running().is_empty());
+    world.check();
+}
+
 #[test]
 fn bad_submissions_are_told_what_is_wrong() {
     let mut world = ready();
