Reads within a share of the state service's limit; jobs too long to keep get 400; one accept loop

Guards against a crowd of polls that would bring 429 on renewals and writes, and against a submission longer than the state service's values, which would have been refused with 503 for ever. Unused functions removed.

--- a/crates/worksshunt-core/src/allotment.rs
+++ b/crates/worksshunt-core/src/allotment.rs
@@ -10,7 +10,7 @@
 use worksshunt_wire::peer::{Failure, Give, MachineUp, Phase, SyncDown, SyncUp};
 use worksshunt_wire::settings::Facts;
 use worksshunt_wire::state::Pair;
-use worksshunt_wire::user::{JobState, Priority};
+use worksshunt_wire::user::Priority;
 use worksshunt_wire::{Attempt, Epoch, JobId, MachineId, NodeName, TaskId};
 
 use crate::constants::{
@@ -307,11 +307,6 @@
         }
     }
 
-    /// Whether the job is open.
-    pub fn is_open(&self, id: JobId) -> bool {
-        self.jobs.contains_key(&id)
-    }
-
     fn insert_out(&mut self, attempt: Attempt, mut out: Out) {
         if let Some(work) = self.jobs.get_mut(&out.task.job) {
             out.job = Some(Rc::clone(&work.job));
@@ -1060,19 +1055,6 @@
         self.jobs.get(&id).map_or(0, |work| work.done.chunks())
     }
 
-    /// A display state for a job.
-    pub fn state(&self, id: JobId) -> JobState {
-        let running = self
-            .outs
-            .values()
-            .any(|out| out.task.job == id && out.phase == Phase::Running);
-        if running {
-            JobState::Running
-        } else {
-            JobState::Pending
-        }
-    }
-
     /// All machines of all parts.
     pub fn machines(&self) -> impl Iterator<Item = &MachineUp> {
         self.parts.values().flat_map(|part| part.machines.iter())
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -59,6 +59,14 @@
 /// three may have half, and a 429 corrects the rest.
 pub const WRITE_SHARE: f64 = 0.45;
 
+/// Share of the state service's request limit that one controller uses for users' questions. Three
+/// use three quarters; watches, renewals, control reads and writes have the rest.
+pub const READ_SHARE: f64 = 0.25;
+
+/// Milliseconds between the answer of a watch and the next one: bounds the requests that a stream of
+/// changes causes.
+pub const FOLLOW_PAUSE_MS: u64 = 30;
+
 /// Bytes of one transaction, kept below the state service's 64 KiB.
 pub const TXN_BYTES: usize = 48 * 1024;
 
@@ -86,6 +94,10 @@
 /// Bytes of a request body (protocol).
 pub const BODY_BYTES: usize = 64 * 1024;
 
+/// Bytes by which a stored job is longer than its description: the frame around it and the time of
+/// acceptance, rounded up.
+pub const JOB_FRAME_BYTES: usize = 256;
+
 /// Tasks of a job (protocol).
 pub const MAX_TASKS: u32 = 100_000;
 
--- a/crates/worksshunt-core/src/controller.rs
+++ b/crates/worksshunt-core/src/controller.rs
@@ -15,7 +15,7 @@
 use crate::fleet::{CloudRequest, Fleet};
 use crate::jobs::{
     check_possible, done_key, final_key, final_value, open_key, parse, read_final, Job, Mirror,
-    MirrorChange, DONE, OPEN,
+    MirrorChange, Refusal, DONE, OPEN,
 };
 use crate::machines::{record_key, DirectOrders, OrdersReply, Part, RECORDS};
 use crate::membership::{Finding, Membership, Standing, CONTROL, EPOCH};
@@ -257,6 +257,7 @@
     batch_keys: Vec<(String, bool)>,
     batch_turn: Periodic,
     writes: Bucket,
+    reads: Bucket,
     store_heard: Time,
     doubt_turn: Periodic,
     /// When a peer last said that the state service answers it, and that it does not.
@@ -308,6 +309,10 @@
             batch_keys: Vec::new(),
             batch_turn: Periodic::default(),
             writes: Bucket::new(write_rate, write_rate.max(facts.state.txn_ops as f64)),
+            reads: Bucket::new(
+                facts.state.rps * READ_SHARE,
+                (facts.state.rps * READ_SHARE).max(1.0),
+            ),
             store_heard: Time::default(),
             doubt_turn: Periodic::default(),
             peer_well: None,
@@ -535,9 +540,11 @@
 
     /// Sends what users' requests wait for, as soon as it can leave.
     fn user_turns(&mut self, now: Time, out: &mut Vec<Action>) {
-        if self.catch_up_turn.due(now) && self.users.wants_read() {
+        let may_read = self.reads.available(now) > 0;
+        if self.catch_up_turn.due(now) && self.users.wants_read() && may_read {
             if let Some(since) = self.mirror.revision() {
                 self.users.reading();
+                self.reads.take(1);
                 self.catch_up_turn.sent(now, 0);
                 let op = StoreOp::Follow(OPEN.to_owned(), since, 0);
                 store(out, StoreTag::CatchUp, op);
@@ -606,8 +613,14 @@
     }
 
     fn submit(&mut self, now: Now, request: RequestId, body: &[u8], out: &mut Vec<Action>) {
+        let most = (self.settings.facts.state.value_kb * 1_024.0) as usize;
         let checked = parse(body).and_then(|spec| {
             let id = Some(spec.id);
+            let kept = serde_json::to_string(&spec).map_or(usize::MAX, |text| text.len());
+            if kept.saturating_add(JOB_FRAME_BYTES) > most {
+                let text = "longer than the state service keeps".to_owned();
+                return Err((id, Refusal::Malformed(text)));
+            }
             match &self.catalog {
                 None => Ok(None),
                 Some(catalog) => check_possible(&spec, catalog, &self.quota)
@@ -663,10 +676,15 @@
         out.push(Action::Reply(request, reply));
     }
 
-    fn step(&mut self, step: Step, out: &mut Vec<Action>) {
+    fn step(&mut self, now: Time, step: Step, out: &mut Vec<Action>) {
         match step {
             Step::Answer(request, reply) => out.push(Action::Reply(request, reply)),
+            Step::LookUpFinal(ask) if self.reads.available(now) == 0 => {
+                let reply = Reply::later("too many questions at once");
+                out.push(Action::Reply(ask.request, reply));
+            }
             Step::LookUpFinal(ask) => {
+                self.reads.take(1);
                 let op = StoreOp::Get(final_key(ask.id));
                 store(out, StoreTag::Final(ask), op);
             }
@@ -678,12 +696,12 @@
         }
     }
 
-    fn resolve(&mut self, asks: Vec<Ask>, out: &mut Vec<Action>) {
+    fn resolve(&mut self, now: Time, asks: Vec<Ask>, out: &mut Vec<Action>) {
         for ask in asks {
             let open = self.mirror.get(ask.id);
             let known_final = self.mirror.final_state(ask.id);
             let step = resolve(ask, open, known_final, &self.progress);
-            self.step(step, out);
+            self.step(now, step, out);
         }
     }
 
@@ -1246,7 +1264,7 @@
             }
             StoreTag::Follow => match reply {
                 StoreReply::Changes(changes) => {
-                    self.follow_turn.retry(t, 0);
+                    self.follow_turn.retry(t, FOLLOW_PAUSE_MS);
                     self.changed(t, &changes);
                 }
                 StoreReply::TooOld => {
@@ -1314,7 +1332,7 @@
                         out.push(Action::Reply(ask.request, Reply::later("unreadable state")));
                     }
                 },
-                StoreReply::Missing => self.step(unknown(ask), out),
+                StoreReply::Missing => self.step(t, unknown(ask), out),
                 _ => out.push(Action::Reply(
                     ask.request,
                     Reply::later("the state service does not answer"),
@@ -1375,7 +1393,7 @@
             StoreReply::Changes(changes) if self.mirror.loaded() => {
                 self.changed(now, &changes);
                 let asks = self.users.read();
-                self.resolve(asks, out);
+                self.resolve(now, asks, out);
             }
             StoreReply::TooOld => self.reload_mirror(out),
             _ => {
--- a/crates/worksshunt-core/src/fleet.rs
+++ b/crates/worksshunt-core/src/fleet.rs
@@ -476,11 +476,6 @@
             }
         }
     }
-
-    /// How many machines there are, booting ones included.
-    pub fn size(&self) -> usize {
-        self.machines.len()
-    }
 }
 
 /// Demand that the supply will not serve at once. Takes what it does serve out of the supply.
--- a/crates/worksshunt-core/tests/stories.rs
+++ b/crates/worksshunt-core/tests/stories.rs
@@ -503,6 +503,7 @@
         change("Cores", json!(-1.0)),
         change("Oficio", json!("gang")),
         change("Spread", json!("no")),
+        change("Carril", json!("c".repeat(9_000))),
     ];
     for job in &malformed {
         assert_eq!(world.submit(0, job).status, 400, "{job}");
--- a/crates/worksshunt-net/src/lib.rs
+++ b/crates/worksshunt-net/src/lib.rs
@@ -3,8 +3,10 @@
 //! Nothing in here decides anything. Every connection count is bounded and every call has a
 //! deadline.
 
+use std::cell::Cell;
 use std::future::Future;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::time::Duration;
 
 use async_io::Async;
@@ -35,3 +37,41 @@
     })
     .await
 }
+
+/// Pause after a connection could not be accepted: out of sockets, most likely, so connections need
+/// time to close.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts connections for ever, at most so many at a time, and lets each be served.
+pub(crate) async fn accept<F: Future<Output = ()> + 'static>(
+    executor: Rc<Executor>,
+    listener: Async<TcpListener>,
+    connections: usize,
+    serve: impl Fn(Async<TcpStream>, SocketAddr) -> F,
+) {
+    let open = Rc::new(Cell::new(0usize));
+    loop {
+        let (stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                tracing::debug!(%error, "cannot accept a connection");
+                async_io::Timer::after(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if open.get() >= connections {
+            tracing::debug!(%from, "too many connections");
+            continue;
+        }
+        let _ = stream.get_ref().set_nodelay(true);
+        open.set(open.get() + 1);
+        let open = Rc::clone(&open);
+        let served = serve(stream, from);
+        executor
+            .spawn(async move {
+                served.await;
+                open.set(open.get() - 1);
+            })
+            .detach();
+    }
+}
--- a/crates/worksshunt-net/src/peer.rs
+++ b/crates/worksshunt-net/src/peer.rs
@@ -14,7 +14,7 @@
 use worksshunt_wire::peer::{PeerAnswer, PeerRequest};
 
 use crate::client::CallError;
-use crate::{within, Executor};
+use crate::{accept, within, Executor};
 
 /// Longest frame taken, bytes: thousands of machines and attempts, far beyond one deployment.
 const FRAME_BYTES: usize = 4 * 1024 * 1024;
@@ -100,31 +100,20 @@
     connections: usize,
     handler: PeerHandler,
 ) {
-    let open = Rc::new(std::cell::Cell::new(0usize));
-    loop {
-        let Ok((mut stream, from)) = listener.accept().await else {
-            async_io::Timer::after(Duration::from_millis(20)).await;
-            continue;
+    accept(executor, listener, connections, |stream, from| {
+        connection(stream, from, Rc::clone(&handler))
+    })
+    .await;
+}
+
+async fn connection(mut stream: Async<TcpStream>, from: SocketAddr, handler: PeerHandler) {
+    while let Ok(request) = read_frame(&mut stream).await {
+        let Some(answer) = handler(request).await else {
+            break;
         };
-        if open.get() >= connections {
-            continue;
+        if write_frame(&mut stream, &answer).await.is_err() {
+            break;
         }
-        let _ = stream.get_ref().set_nodelay(true);
-        open.set(open.get() + 1);
-        let (open, handler) = (Rc::clone(&open), Rc::clone(&handler));
-        executor
-            .spawn(async move {
-                while let Ok(request) = read_frame(&mut stream).await {
-                    let Some(answer) = handler(request).await else {
-                        break;
-                    };
-                    if write_frame(&mut stream, &answer).await.is_err() {
-                        break;
-                    }
-                }
-                tracing::debug!(%from, "peer connection ended");
-                open.set(open.get() - 1);
-            })
-            .detach();
     }
+    tracing::debug!(%from, "peer connection ended");
 }
--- a/crates/worksshunt-net/src/server.rs
+++ b/crates/worksshunt-net/src/server.rs
@@ -1,6 +1,5 @@
 //! The HTTP server.
 
-use std::cell::Cell;
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
 use std::pin::Pin;
@@ -12,7 +11,7 @@
 use worksshunt_core::constants::BODY_BYTES;
 use worksshunt_core::users::Reply;
 
-use crate::{Executor, Stream};
+use crate::{accept, Executor, Stream};
 
 /// A request as the service sees it.
 #[derive(Debug)]
@@ -35,31 +34,10 @@
     connections: usize,
     handler: Handler,
 ) {
-    let open = Rc::new(Cell::new(0usize));
-    loop {
-        let (stream, from) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                // Out of sockets, most likely: give connections time to close.
-                tracing::debug!(%error, "cannot accept a connection");
-                async_io::Timer::after(std::time::Duration::from_millis(20)).await;
-                continue;
-            }
-        };
-        if open.get() >= connections {
-            tracing::debug!(%from, "too many connections");
-            continue;
-        }
-        let _ = stream.get_ref().set_nodelay(true);
-        open.set(open.get() + 1);
-        let (open, handler) = (Rc::clone(&open), Rc::clone(&handler));
-        executor
-            .spawn(async move {
-                connection(Stream::new(stream), from, handler).await;
-                open.set(open.get() - 1);
-            })
-            .detach();
-    }
+    accept(executor, listener, connections, |stream, from| {
+        connection(Stream::new(stream), from, Rc::clone(&handler))
+    })
+    .await;
 }
 
 async fn connection(stream: Stream, from: SocketAddr, handler: Handler) {
