A machine on which three different jobs fail takes no more work

Guards against a faulty machine that fails tasks quickly and so attracts ever more of them; one job that fails everywhere condemns nothing. A job goes back to a machine it failed on only if no other fits: the one exception to the ordinary path.

--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -158,6 +158,10 @@
 /// Failures of a job after which its tasks wait between tries.
 pub const ERRORS_BEFORE_BACKOFF: u32 = 3;
 
+/// Different jobs that fail on a machine, with no task completing in between, after which it takes no
+/// more: one job may fail everywhere by its owner's mistake, three at once hardly.
+pub const FAULTY_JOBS: usize = 3;
+
 /// Milliseconds of the first wait of a failing job; doubled up to [`ERROR_BACKOFF_MAX_MS`].
 pub const ERROR_BACKOFF_MS: u64 = 2_000;
 
--- a/crates/worksshunt-core/src/machines.rs
+++ b/crates/worksshunt-core/src/machines.rs
@@ -18,8 +18,8 @@
 use worksshunt_wire::{Attempt, Epoch, JobId, MachineId, NodeName, Session, TaskId};
 
 use crate::constants::{
-    AUTHORITY_MS, CLOCK_DRIFT, LAZY_RECORD_MS, LEASE_MARGIN_MS, ORDERS_PAUSE_MS, QUEUED_MS,
-    SILENT_REPORTS, UNREACHED_MACHINES, UNREACHED_REPORTS,
+    AUTHORITY_MS, CLOCK_DRIFT, FAULTY_JOBS, LAZY_RECORD_MS, LEASE_MARGIN_MS, ORDERS_PAUSE_MS,
+    QUEUED_MS, SILENT_REPORTS, UNREACHED_MACHINES, UNREACHED_REPORTS,
 };
 use crate::jobs::{Job, Mirror};
 use crate::placement::{choose, Candidate, Outcome, OverCapacity, Parameters, Room, Speed};
@@ -169,6 +169,8 @@
     claimed: bool,
     /// The worker lists tasks that are on no record.
     foreign: bool,
+    /// Jobs whose tasks failed on it since a task last completed there.
+    failing: BTreeSet<JobId>,
     held: BTreeMap<Attempt, Held>,
     /// Since when nothing is on it, as of the last exchange with the leader.
     empty_since: Option<Time>,
@@ -193,6 +195,7 @@
             draining: false,
             claimed: false,
             foreign: false,
+            failing: BTreeSet::new(),
             held: BTreeMap::new(),
             empty_since: None,
             recorded: BTreeSet::new(),
@@ -280,6 +283,7 @@
             && !self.lost
             && !self.draining
             && !self.foreign
+            && self.failing.len() < FAULTY_JOBS
             && self.notice.is_none()
             && now.since(self.heard) <= silent_ms
     }
@@ -388,6 +392,10 @@
             return;
         };
         if let Some(held) = entry.held.remove(&attempt) {
+            if failure == Failure::Error && entry.failing.insert(held.task.job) {
+                let jobs = entry.failing.len();
+                tracing::info!(task = %held.task, machine = %machine, jobs, "failed here");
+            }
             if entry.recorded.contains(&attempt) {
                 entry.stale_since.get_or_insert(now);
             }
@@ -512,6 +520,7 @@
                 (TaskState::Saving, _) => held.step(HeldState::Saving),
                 (TaskState::Ended, Some(ExitReason::Done)) => {
                     if held.state != HeldState::Completed {
+                        machine.failing.clear();
                         held.step(HeldState::Completed);
                         if let (Some(job), false) = (&held.job, held.inherited) {
                             let held_s = now.since(held.placed_at) as f64 / 1_000.0;
@@ -933,25 +942,33 @@
         let job = Rc::clone(&open.job);
         let need = Room::of_job(&job);
         let (parameters, speeds, silent_ms) = (&self.parameters, &self.speeds, self.silent_ms);
-        let candidates = self.machines.iter().filter_map(|(id, machine)| {
-            let info = machine.info.as_ref()?;
-            let mine = match &give.claimed {
-                Some(claimed) => claimed == id,
-                None => !machine.claimed,
-            };
-            let fits = mine
-                && machine.usable(now, silent_ms)
-                && job.allows(&info.machine_type, &info.zone, info.spot)
-                && give.zone.as_ref().is_none_or(|zone| *zone == info.zone)
-                && machine.free().holds(&need);
-            let speed = speeds.get(id).copied().unwrap_or(Speed::UNMEASURED);
-            fits.then(|| Candidate {
-                id,
-                fullness: machine.fullness(),
-                capacity: parameters.capacity(speed.value(parameters.start_speed)),
+        let candidates = |again: bool| {
+            let (job, need) = (&job, &need);
+            self.machines.iter().filter_map(move |(id, machine)| {
+                let info = machine.info.as_ref()?;
+                let mine = match &give.claimed {
+                    Some(claimed) => claimed == id,
+                    None => !machine.claimed,
+                };
+                let fits = mine
+                    && machine.usable(now, silent_ms)
+                    && again == machine.failing.contains(&job.spec.id)
+                    && job.allows(&info.machine_type, &info.zone, info.spot)
+                    && give.zone.as_ref().is_none_or(|zone| *zone == info.zone)
+                    && machine.free().holds(need);
+                let speed = speeds.get(id).copied().unwrap_or(Speed::UNMEASURED);
+                fits.then(|| Candidate {
+                    id,
+                    fullness: machine.fullness(),
+                    capacity: parameters.capacity(speed.value(parameters.start_speed)),
+                })
             })
-        });
-        let Some(choice) = choose(job.spec.estimate_s, candidates) else {
+        };
+        // A machine on which the job has failed gets it again only if no other fits.
+        let estimate_s = job.spec.estimate_s;
+        let choice =
+            choose(estimate_s, candidates(false)).or_else(|| choose(estimate_s, candidates(true)));
+        let Some(choice) = choice else {
             return false;
         };
         let over_capacity = choice
--- a/crates/worksshunt-core/tests/stories.rs
+++ b/crates/worksshunt-core/tests/stories.rs
@@ -438,6 +438,25 @@
     assert_eq!(world.state(0, 1).0, 200);
 }
 
+// Guards against a faulty machine that fails tasks quickly and so attracts ever more of them.
+#[test]
+fn a_faulty_machine_gets_no_more_work_and_goes_back() {
+    let mut world = ready();
+    world.run_ms = 2_000;
+    let faulty = world.machine("a", true, 0);
+    world.machine("a", true, 0);
+    world.trouble.faulty.insert(faulty.clone());
+    world.run(4_000);
+    for id in 1..=6 {
+        world.submit(0, &job(id, 8));
+    }
+    world.until("all tasks", 90_000, |w| (1..=6).all(|id| w.all_done(id, 8)));
+    world.until("its return", 90_000, |w| w.returned.contains(&faulty));
+    let failed = world.starts.iter().filter(|s| s.2 == faulty).count();
+    assert!((3..20).contains(&failed), "{failed} starts on it");
+    world.check();
+}
+
 // Guards against a new leader that takes machines for silent because it has not heard of them.
 #[test]
 fn a_new_leader_keeps_machines_older_than_any_boot() {
--- a/crates/worksshunt-core/tests/world/mod.rs
+++ b/crates/worksshunt-core/tests/world/mod.rs
@@ -260,6 +260,8 @@
     pub hold_orders: bool,
     /// Jobs whose tasks fail on every machine.
     pub failing: BTreeSet<JobId>,
+    /// Machines on which every task fails.
+    pub faulty: BTreeSet<MachineId>,
     /// The cloud does not answer.
     pub cloud_down: bool,
 }
@@ -814,7 +816,8 @@
                 started.push(task.task);
                 changed = true;
             } else if task.state == TaskState::Running && now >= task.ends_at {
-                let fails = self.trouble.failing.contains(&task.task.job);
+                let fails = self.trouble.failing.contains(&task.task.job)
+                    || self.trouble.faulty.contains(id);
                 task.state = TaskState::Ended;
                 task.reason = Some(if fails {
                     ExitReason::Error
