--- a/crates/worksshunt-core/src/allotment.rs
+++ b/crates/worksshunt-core/src/allotment.rs
@@ -166,6 +166,8 @@
     pub running: u32,
     /// Estimated seconds the tasks handed out still take, summed up.
     pub running_s: f64,
+    /// Seconds its tasks may wait.
+    pub slack_s: f64,
     /// The zone they must be in.
     pub zone: Option<String>,
 }
@@ -1116,6 +1118,7 @@
                     waiting,
                     running,
                     running_s,
+                    slack_s: self.objectives.slack_s(&work.job),
                     zone,
                 });
             }
--- a/crates/worksshunt-core/src/controller.rs
+++ b/crates/worksshunt-core/src/controller.rs
@@ -19,7 +19,6 @@
 };
 use crate::machines::{record_key, DirectOrders, OrdersReply, Part, RECORDS};
 use crate::membership::{Finding, Membership, Standing, CONTROL, EPOCH};
-use crate::objectives::Objectives;
 use crate::placement::{owner, Parameters};
 use crate::quota::Quota;
 use crate::time::{Bucket, Budget, Now, Time};
@@ -237,7 +236,6 @@
 pub struct Controller {
     settings: Settings,
     quota: Quota,
-    objectives: Objectives,
     membership: Membership,
     mirror: Mirror,
     users: Users,
@@ -290,7 +288,6 @@
         let cloud_rate = facts.cloud.rps * CLOUD_SHARE;
         Controller {
             quota: Quota::new(&facts.teams),
-            objectives: Objectives::new(&facts.objectives),
             membership: Membership::new(settings.host_name.clone()),
             mirror: Mirror::default(),
             users: Users::default(),
@@ -764,13 +761,9 @@
             }
             leader.fleet.heard(t, leader.allotment.machines());
             let demand = leader.allotment.demand(now);
-            let requests = leader.fleet.plan(
-                t,
-                catalog,
-                leader.allotment.rooms(),
-                &demand,
-                &self.objectives,
-            );
+            let requests = leader
+                .fleet
+                .plan(t, catalog, leader.allotment.rooms(), &demand);
             for request in requests {
                 self.cloud_calls.take(1);
                 out.push(Action::Cloud(request));
--- a/crates/worksshunt-core/src/fleet.rs
+++ b/crates/worksshunt-core/src/fleet.rs
@@ -11,7 +11,6 @@
     BOOT_EXTRA_S, BOOT_FACTOR, IDLE_RETURN_MS, RENT_MOST, RENT_REFUSED_MS, RETURN_MOST,
 };
 use crate::jobs::Job;
-use crate::objectives::Objectives;
 use crate::placement::Room;
 use crate::time::Time;
 
@@ -205,7 +204,6 @@
         catalog: &Catalog,
         rooms: impl Iterator<Item = (&'a MachineUp, &'a Room)>,
         demand: &[Demand],
-        objectives: &Objectives,
     ) -> Vec<CloudRequest> {
         let mut requests = Vec::new();
         let rooms: Vec<(&MachineUp, Room)> = rooms.map(|(m, room)| (m, *room)).collect();
@@ -218,7 +216,7 @@
         }
         if !self.rent_in_flight && now >= self.rent_from {
             if self.renting.is_none() {
-                self.renting = self.rental(now, catalog, &supply, &left, demand, objectives);
+                self.renting = self.rental(now, catalog, &supply, &left, demand);
             }
             if let Some(request) = &self.renting {
                 self.rent_in_flight = true;
@@ -260,12 +258,8 @@
         supply: &[Offer],
         left: &[Demand],
         demand: &[Demand],
-        objectives: &Objectives,
     ) -> Option<RentRequest> {
-        let needed: f64 = demand
-            .iter()
-            .map(|d| processors_needed(d, objectives.slack_s(&d.job)))
-            .sum();
+        let needed: f64 = demand.iter().map(processors_needed).sum();
         let mut wanted: BTreeMap<Offer, f64> = BTreeMap::new();
         for demand in left {
             let Some((offer, slots)) = self.best_offer(now, catalog, demand) else {
@@ -502,10 +496,10 @@
 }
 
 /// Processors that would get a job's tasks done in time, if each were done once its turn came.
-fn processors_needed(demand: &Demand, slack_s: f64) -> f64 {
+fn processors_needed(demand: &Demand) -> f64 {
     let waiting_s = f64::from(demand.waiting) * demand.job.spec.estimate_s;
     let at_once = f64::from(demand.tasks + demand.running);
-    demand.job.spec.cpus * at_once.min((waiting_s + demand.running_s) / slack_s)
+    demand.job.spec.cpus * at_once.min((waiting_s + demand.running_s) / demand.slack_s)
 }
 
 fn allows(job: &Job, zone: Option<&String>, offer: &Offer) -> bool {
@@ -568,14 +562,14 @@
             waiting: tasks,
             running: 0,
             running_s: 0.0,
+            slack_s: 20.0,
             zone: None,
         }]
     }
 
     fn plan(fleet: &mut Fleet, now: u64, demand: &[Demand]) -> Vec<CloudRequest> {
         let rooms = std::iter::empty();
-        let objectives = Objectives::default();
-        fleet.plan(Time(now), &catalog(), rooms, demand, &objectives)
+        fleet.plan(Time(now), &catalog(), rooms, demand)
     }
 
     // Guards against a new leader that returns machines for being old and not heard of yet.
