--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -233,3 +233,46 @@
 
 /// ... doubled each time it was in vain, up to this.
 pub const REACH_RETRY_MAX_MS: u64 = 600_000;
+
+/// Slack for sums of decimal fractions, such as processors.
+pub const ROUNDING: f64 = 1e-6;
+
+/// Keys in one page of the state service's listing (protocol).
+pub const STATE_PAGE: usize = 1_000;
+
+/// Machines in one page of the cloud's list (protocol).
+pub const CLOUD_PAGE: usize = 500;
+
+/// Longest frame taken from a peer, bytes: thousands of machines and attempts, far beyond one
+/// deployment.
+pub const FRAME_BYTES: usize = 4 * 1024 * 1024;
+
+/// Milliseconds of pause after a connection could not be accepted: out of sockets, most likely, so
+/// connections need time to close.
+pub const ACCEPT_PAUSE_MS: u64 = 20;
+
+/// Connections to the state service: the long watch, the batch under way, renewal, control read,
+/// and room for users' reads.
+pub const STATE_CONNECTIONS: usize = 16;
+
+/// Connections to the cloud: list, rental, return, catalogue.
+pub const CLOUD_CONNECTIONS: usize = 4;
+
+/// Connections taken from peers: each has one or two, and may leave dead ones behind.
+pub const PEER_CONNECTIONS: usize = 16;
+
+/// Sockets kept back from users and workers: the above, both listeners, the clients of the peers.
+pub const OWN_SOCKETS: usize = STATE_CONNECTIONS + CLOUD_CONNECTIONS + PEER_CONNECTIONS + 12;
+
+/// One in so many of the other sockets may be a connection to a worker.
+pub const WORKER_SHARE: usize = 4;
+
+/// The fewest changes in a transaction the service can work with: finishing the largest job removes
+/// it with its completion records.
+pub const LEAST_TXN_OPS: usize = 10;
+
+/// The fewest sockets it can work with: its own, and some for others.
+pub const LEAST_SOCKETS: usize = 64;
+
+/// Milliseconds the command-line client waits for an answer, as users do (protocol).
+pub const CLIENT_DEADLINE_MS: u64 = 5_000;
--- a/crates/worksshunt-core/src/fleet.rs
+++ b/crates/worksshunt-core/src/fleet.rs
@@ -8,15 +8,12 @@
 
 use crate::allotment::Demand;
 use crate::constants::{
-    BOOT_EXTRA_S, BOOT_FACTOR, IDLE_RETURN_MS, RENT_MOST, RENT_REFUSED_MS, RETURN_MOST,
+    BOOT_EXTRA_S, BOOT_FACTOR, IDLE_RETURN_MS, RENT_MOST, RENT_REFUSED_MS, RETURN_MOST, ROUNDING,
 };
 use crate::jobs::Job;
 use crate::placement::Room;
 use crate::time::Time;
 
-/// Slack for sums of fractions of machines.
-const ROUNDING: f64 = 1e-6;
-
 /// One kind of machine that can be rented.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Offer {
@@ -511,7 +508,7 @@
 fn slots(room: &Room, need: &Room) -> f64 {
     let ratio = |all: f64, one: f64| {
         if one > 0.0 {
-            (all / one + 1e-6).floor()
+            (all / one + ROUNDING).floor()
         } else {
             f64::INFINITY
         }
--- a/crates/worksshunt-core/src/placement.rs
+++ b/crates/worksshunt-core/src/placement.rs
@@ -8,12 +8,9 @@
 use worksshunt_wire::cloud::MachineType;
 use worksshunt_wire::{MachineId, NodeName};
 
-use crate::constants::{SIZE_BANDS_S, SPEED_WEIGHT};
+use crate::constants::{ROUNDING, SIZE_BANDS_S, SPEED_WEIGHT};
 use crate::jobs::Job;
 
-/// Slack for sums of decimal fractions.
-const ROUNDING: f64 = 1e-6;
-
 /// Resources of a machine or a task.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Room {
--- a/crates/worksshunt-core/src/quota.rs
+++ b/crates/worksshunt-core/src/quota.rs
@@ -5,11 +5,9 @@
 use worksshunt_wire::settings::Team;
 use worksshunt_wire::TeamName;
 
+use crate::constants::ROUNDING;
 use crate::jobs::Job;
 
-/// Slack for sums of decimal fractions.
-const ROUNDING: f64 = 1e-6;
-
 /// Processors and accelerators in use.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Usage {
--- a/crates/worksshunt-net/src/cloud.rs
+++ b/crates/worksshunt-net/src/cloud.rs
@@ -4,15 +4,13 @@
 
 use http_types::Method;
 use serde::de::DeserializeOwned;
+use worksshunt_core::constants::CLOUD_PAGE;
 use worksshunt_core::controller::CloudReply;
 use worksshunt_core::fleet::CloudRequest;
 use worksshunt_wire::cloud::MachineList;
 
 use crate::client::{CallError, HttpClient};
 
-/// Machines asked for in one page of the list (protocol).
-const PAGE: usize = 500;
-
 /// Carries out one request.
 pub async fn call(client: &HttpClient, request: &CloudRequest, deadline: Duration) -> CloudReply {
     let result = match request {
@@ -95,7 +93,7 @@
             .last()
             .map(|machine| format!("&Since={}", machine.id))
             .unwrap_or_default();
-        let path = format!("/machines?Most={PAGE}{since}");
+        let path = format!("/machines?Most={CLOUD_PAGE}{since}");
         let Some(page) = get::<MachineList>(client, &path, deadline).await? else {
             return Ok(CloudReply::Failed);
         };
--- a/crates/worksshunt-net/src/lib.rs
+++ b/crates/worksshunt-net/src/lib.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use async_io::Async;
+use worksshunt_core::constants::ACCEPT_PAUSE_MS;
 
 pub mod client;
 pub mod cloud;
@@ -38,10 +39,6 @@
     .await
 }
 
-/// Pause after a connection could not be accepted: out of sockets, most likely, so connections need
-/// time to close.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Accepts connections for ever, at most so many at a time, and lets each be served.
 pub(crate) async fn accept<F: Future<Output = ()> + 'static>(
     executor: Rc<Executor>,
@@ -55,7 +52,7 @@
             Ok(accepted) => accepted,
             Err(error) => {
                 tracing::debug!(%error, "cannot accept a connection");
-                async_io::Timer::after(ACCEPT_PAUSE).await;
+                async_io::Timer::after(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
                 continue;
             }
         };
--- a/crates/worksshunt-net/src/peer.rs
+++ b/crates/worksshunt-net/src/peer.rs
@@ -11,14 +11,12 @@
 use async_io::Async;
 use borsh::{BorshDeserialize, BorshSerialize};
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use worksshunt_core::constants::FRAME_BYTES;
 use worksshunt_wire::peer::{PeerAnswer, PeerRequest};
 
 use crate::client::CallError;
 use crate::{accept, within, Executor};
 
-/// Longest frame taken, bytes: thousands of machines and attempts, far beyond one deployment.
-const FRAME_BYTES: usize = 4 * 1024 * 1024;
-
 async fn write_frame<T: BorshSerialize>(
     stream: &mut (impl AsyncWrite + Unpin),
     message: &T,
--- a/crates/worksshunt-net/src/state.rs
+++ b/crates/worksshunt-net/src/state.rs
@@ -4,7 +4,7 @@
 
 use http_types::Method;
 use serde::de::DeserializeOwned;
-use worksshunt_core::constants::HOLD_TTL_MS;
+use worksshunt_core::constants::{HOLD_TTL_MS, STATE_PAGE};
 use worksshunt_core::controller::{StoreOp, StoreReply};
 use worksshunt_wire::state::{
     AtRevision, Changes, Conflict, Hold, HoldRequest, Listing, Pair, Txn,
@@ -12,9 +12,6 @@
 
 use crate::client::{CallError, HttpClient};
 
-/// Keys asked for in one page of a listing (protocol).
-const PAGE: usize = 1_000;
-
 /// Carries out one operation.
 pub async fn call(client: &HttpClient, op: StoreOp, deadline: Duration) -> StoreReply {
     let result = match op {
@@ -107,7 +104,7 @@
             .last()
             .map(|pair| format!("&Since={}", pair.key))
             .unwrap_or_default();
-        let path = format!("/kv?Starts={prefix}{since}&Most={PAGE}");
+        let path = format!("/kv?Starts={prefix}{since}&Most={STATE_PAGE}");
         let (status, body) = client.call(Method::Get, &path, None, deadline).await?;
         if status != 200 {
             return Ok(other(status));
--- a/crates/worksshunt/src/client.rs
+++ b/crates/worksshunt/src/client.rs
@@ -9,13 +9,13 @@
 use std::time::Duration;
 
 use http_types::Method;
+use worksshunt_core::constants::CLIENT_DEADLINE_MS;
 use worksshunt_net::client::HttpClient;
 
-const DEADLINE: Duration = Duration::from_secs(5);
-
 fn call(server: SocketAddr, method: Method, path: &str, body: Option<String>) -> ExitCode {
     let client = HttpClient::new(server, 1);
-    match async_io::block_on(client.call(method, path, body, DEADLINE)) {
+    let deadline = Duration::from_millis(CLIENT_DEADLINE_MS);
+    match async_io::block_on(client.call(method, path, body, deadline)) {
         Ok((status, body)) => {
             println!("{}", String::from_utf8_lossy(&body));
             ExitCode::from(match status {
--- a/crates/worksshunt/src/options.rs
+++ b/crates/worksshunt/src/options.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 
 use serde::Deserialize;
+use worksshunt_core::constants::{LEAST_SOCKETS, LEAST_TXN_OPS};
 use worksshunt_core::placement::Parameters;
 use worksshunt_wire::settings::Settings;
 
@@ -146,31 +147,21 @@
     if !(facts.cloud.list_lag_s.is_finite() && facts.cloud.list_lag_s >= 0.0) {
         return Err("facts.cloud.list_lag_s: not a duration".to_owned());
     }
-    if facts.state.txn_ops < service_needs::TXN_OPS {
+    if facts.state.txn_ops < LEAST_TXN_OPS {
         return Err(format!(
             "facts.state.txn_ops: {} is below {}",
-            facts.state.txn_ops,
-            service_needs::TXN_OPS
+            facts.state.txn_ops, LEAST_TXN_OPS
         ));
     }
-    if facts.limits.sockets < service_needs::SOCKETS {
+    if facts.limits.sockets < LEAST_SOCKETS {
         return Err(format!(
             "facts.limits.sockets: {} is below {}",
-            facts.limits.sockets,
-            service_needs::SOCKETS
+            facts.limits.sockets, LEAST_SOCKETS
         ));
     }
     Ok(())
 }
 
-/// The least the service can work with.
-mod service_needs {
-    /// Changes in a transaction: finishing the largest job removes it with its completion records.
-    pub const TXN_OPS: usize = 10;
-    /// Sockets: the service's own clients and listeners, and some for others.
-    pub const SOCKETS: usize = 64;
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/worksshunt/src/service.rs
+++ b/crates/worksshunt/src/service.rs
@@ -11,7 +11,8 @@
 use async_io::{Async, Timer};
 use http_types::Method;
 use worksshunt_core::constants::{
-    CLOUD_DEADLINE_MS, ORDERS_DEADLINE_MS, SYNC_DEADLINE_MS, TICK_MS,
+    CLOUD_CONNECTIONS, CLOUD_DEADLINE_MS, ORDERS_DEADLINE_MS, OWN_SOCKETS, PEER_CONNECTIONS,
+    STATE_CONNECTIONS, SYNC_DEADLINE_MS, TICK_MS, WORKER_SHARE,
 };
 use worksshunt_core::controller::{Action, Controller, Event};
 use worksshunt_core::placement::Parameters;
@@ -26,19 +27,6 @@
 use worksshunt_wire::settings::Settings;
 use worksshunt_wire::NodeName;
 
-/// Connections to the state service: the long watch, the batch under way, renewal, control read,
-/// and room for users' reads.
-const STATE_CONNECTIONS: usize = 16;
-/// Connections to the cloud: list, rental, return, catalogue.
-const CLOUD_CONNECTIONS: usize = 4;
-/// Connections taken from peers: each has one, and may leave a dead one behind.
-const PEER_CONNECTIONS: usize = 16;
-/// Sockets kept back from users and workers.
-const OWN_SOCKETS: usize = STATE_CONNECTIONS + CLOUD_CONNECTIONS + PEER_CONNECTIONS + 12;
-
-/// One in so many of the other sockets may be a connection to a worker.
-const WORKER_SHARE: usize = 4;
-
 /// Why the service could not run.
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
