One place each for order of service, latest starts, offers and who may be stopped

Found on reading the whole change again: the same keys, sums and conversions stood in two or three places, the leader kept a flag that its count of answers already says, and it copied all machines every second even when nothing waits. The check that work without a deadline waits for a spot machine was missing from its test; it is there now and fails without the rule.

--- a/crates/worksshunt-core/src/allotment.rs
+++ b/crates/worksshunt-core/src/allotment.rs
@@ -64,6 +64,16 @@
         }
     }
 
+    /// Order of service: by priority, deadline, age.
+    fn rank(&self) -> (std::cmp::Reverse<Priority>, u64, u64, JobId) {
+        (
+            std::cmp::Reverse(self.job.spec.priority),
+            self.job.due_ms().unwrap_or(u64::MAX),
+            self.job.accepted_ms,
+            self.job.spec.id,
+        )
+    }
+
     fn waiting(&self) -> u32 {
         let active_undone = self
             .active
@@ -112,7 +122,6 @@
 /// A part as its owner last described it.
 #[derive(Debug, Default)]
 struct PartView {
-    heard: bool,
     answers: u64,
     /// Number of the last answer its owner acted on.
     seen: u64,
@@ -417,7 +426,6 @@
             }
         }
         let part = self.parts.entry(up.from.clone()).or_default();
-        part.heard = true;
         part.seen = up.seen;
         part.machines = up.machines;
         part.attempts = up
@@ -577,21 +585,13 @@
     }
 
     fn sort_jobs(&mut self, now: Now) {
-        let mut keys: Vec<(std::cmp::Reverse<Priority>, u64, u64, JobId)> = self
+        let mut works: Vec<&Work> = self
             .jobs
-            .iter()
-            .filter(|(_, work)| work.not_before <= now.steady && !work.complete())
-            .map(|(id, work)| {
-                (
-                    std::cmp::Reverse(work.job.spec.priority),
-                    work.job.due_ms().unwrap_or(u64::MAX),
-                    work.job.accepted_ms,
-                    *id,
-                )
-            })
+            .values()
+            .filter(|work| work.not_before <= now.steady && !work.complete())
             .collect();
-        keys.sort_unstable();
-        self.order = keys.into_iter().map(|(_, _, _, id)| id).collect();
+        works.sort_by_key(|work| work.rank());
+        self.order = works.iter().map(|work| work.job.spec.id).collect();
         self.position = 0;
         self.guaranteed_pass = true;
     }
@@ -861,20 +861,6 @@
     /// What would be served before the waiting task anyway is never stopped for it, so nothing is
     /// stopped twice in a row.
     pub fn preempt(&mut self, now: Now) {
-        let mut rooms: BTreeMap<MachineId, (MachineUp, Room)> = self
-            .rooms()
-            .filter(|(m, _)| m.usable && !m.noticed && !self.claims.contains_key(&m.id))
-            .map(|(m, room)| (m.id.clone(), (m.clone(), *room)))
-            .collect();
-        // Room that earlier stops will leave.
-        for out in self.outs.values().filter(|out| out.preempted) {
-            let room = out.machine.as_ref().and_then(|id| rooms.get_mut(id));
-            if let (Some((_, room)), Some(job)) = (room, &out.job) {
-                if out.phase != Phase::Completed {
-                    room.give_back(&Room::of_job(job));
-                }
-            }
-        }
         let mut stuck: Vec<(std::cmp::Reverse<Priority>, u64, Rc<Job>, u32)> = self
             .jobs
             .values()
@@ -894,6 +880,23 @@
             })
             .collect();
         stuck.sort_by_key(|(priority, accepted_ms, _, _)| (*priority, *accepted_ms));
+        if stuck.is_empty() {
+            return;
+        }
+        let mut rooms: BTreeMap<MachineId, (MachineUp, Room)> = self
+            .rooms()
+            .filter(|(m, _)| m.usable && !m.noticed && !self.claims.contains_key(&m.id))
+            .map(|(m, room)| (m.id.clone(), (m.clone(), *room)))
+            .collect();
+        // Room that earlier stops will leave.
+        for out in self.outs.values().filter(|out| out.preempted) {
+            let room = out.machine.as_ref().and_then(|id| rooms.get_mut(id));
+            if let (Some((_, room)), Some(job)) = (room, &out.job) {
+                if out.phase != Phase::Completed {
+                    room.give_back(&Room::of_job(job));
+                }
+            }
+        }
         let mut quota = self.quota.clone();
         for (_, _, job, waiting) in stuck {
             for _ in 0..waiting {
@@ -923,10 +926,10 @@
                 continue;
             };
             let over = !quota.within_guarantee(&other.spec.team);
-            let lower = other.spec.priority < job.spec.priority;
-            let may = (guaranteed && over && other.spec.team != job.spec.team)
-                || (lower && (guaranteed || over));
-            if may && !out.preempted && out.phase != Phase::Completed {
+            if may_stop(other, over, job, guaranteed)
+                && !out.preempted
+                && out.phase != Phase::Completed
+            {
                 let loses_ms = match other.spec.checkpoint_s {
                     every if every > 0.0 => out.ran_ms.min((every * 1_000.0) as u64),
                     _ => out.ran_ms,
@@ -952,9 +955,7 @@
                 }
                 // Those before it may have brought its team back within its guarantee.
                 let over = !after.within_guarantee(&other.spec.team);
-                let lower = other.spec.priority < job.spec.priority;
-                let may = over || (guaranteed && lower);
-                if !may {
+                if !may_stop(other, over, job, guaranteed) {
                     continue;
                 }
                 after.give_back(other);
@@ -1071,7 +1072,7 @@
 
     /// Whether every part has described itself in this epoch.
     pub fn all_heard(&self) -> bool {
-        self.parts.values().all(|part| part.heard)
+        self.parts.values().all(|part| part.answers > 0)
     }
 
     /// Open jobs in order of service, with as many waiting tasks as the teams' limits let run.
@@ -1082,13 +1083,7 @@
             .values()
             .filter(|work| work.not_before <= now.steady)
             .collect();
-        works.sort_by_key(|work| {
-            (
-                std::cmp::Reverse(work.job.spec.priority),
-                work.job.due_ms().unwrap_or(u64::MAX),
-                work.job.accepted_ms,
-            )
-        });
+        works.sort_by_key(|work| work.rank());
         let mut ran: BTreeMap<JobId, (u32, f64)> = BTreeMap::new();
         for out in self.outs.values().filter(|o| o.phase != Phase::Completed) {
             let Some(job) = &out.job else { continue };
@@ -1127,6 +1122,13 @@
     }
 }
 
+/// Whether a task of `other`, whose team is `over` its guarantee or not, may be stopped for one of
+/// `job`, which lies within its team's guarantee (`guaranteed`) or not.
+fn may_stop(other: &Job, over: bool, job: &Job, guaranteed: bool) -> bool {
+    let lower = other.spec.priority < job.spec.priority;
+    (guaranteed && over && other.spec.team != job.spec.team) || (lower && (guaranteed || over))
+}
+
 impl PartView {
     fn fits(
         &self,
--- a/crates/worksshunt-core/src/fleet.rs
+++ b/crates/worksshunt-core/src/fleet.rs
@@ -25,6 +25,36 @@
     pub spot: bool,
 }
 
+impl From<&MachineUp> for Offer {
+    fn from(up: &MachineUp) -> Offer {
+        Offer {
+            machine_type: up.machine_type.clone(),
+            zone: up.zone.clone(),
+            spot: up.spot,
+        }
+    }
+}
+
+impl From<&ListedMachine> for Offer {
+    fn from(listed: &ListedMachine) -> Offer {
+        Offer {
+            machine_type: listed.machine_type.clone(),
+            zone: listed.zone.clone(),
+            spot: listed.spot,
+        }
+    }
+}
+
+impl From<&RentRequest> for Offer {
+    fn from(request: &RentRequest) -> Offer {
+        Offer {
+            machine_type: request.machine_type.clone(),
+            zone: request.zone.clone(),
+            spot: request.spot,
+        }
+    }
+}
+
 /// Where a rented machine stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
@@ -50,6 +80,16 @@
 }
 
 impl Tracked {
+    fn new(offer: Offer, stage: Stage, since: Time) -> Tracked {
+        Tracked {
+            offer,
+            stage,
+            since,
+            heard: None,
+            idle_since: None,
+        }
+    }
+
     /// The one place where a machine's stage changes.
     fn step(&mut self, id: &MachineId, next: Stage) {
         if self.stage != next {
@@ -125,17 +165,7 @@
             let tracked = self
                 .machines
                 .entry(machine.id.clone())
-                .or_insert_with(|| Tracked {
-                    offer: Offer {
-                        machine_type: machine.machine_type.clone(),
-                        zone: machine.zone.clone(),
-                        spot: machine.spot,
-                    },
-                    stage: Stage::Booting,
-                    since,
-                    heard: None,
-                    idle_since: None,
-                });
+                .or_insert_with(|| Tracked::new(machine.into(), Stage::Booting, since));
             if machine.state == ListedState::Failed && tracked.stage != Stage::Returning {
                 tracing::info!(machine = %machine.id, "machine failed");
                 tracked.heard = None;
@@ -161,17 +191,7 @@
             let tracked = self
                 .machines
                 .entry(up.id.clone())
-                .or_insert_with(|| Tracked {
-                    offer: Offer {
-                        machine_type: up.machine_type.clone(),
-                        zone: up.zone.clone(),
-                        spot: up.spot,
-                    },
-                    stage: Stage::Up,
-                    since: now,
-                    heard: Some(now),
-                    idle_since: None,
-                });
+                .or_insert_with(|| Tracked::new(up.into(), Stage::Up, now));
             tracked.heard = Some(now);
             if tracked.stage == Stage::Booting {
                 tracked.step(&up.id, Stage::Up);
@@ -225,14 +245,10 @@
 
     /// Machines that take tasks, and those that boot, with the room on each.
     fn supply(&self, catalog: &Catalog, rooms: &[(&MachineUp, Room)]) -> Vec<(Offer, Room)> {
-        let up = rooms.iter().filter(|(m, _)| m.usable).map(|(m, room)| {
-            let offer = Offer {
-                machine_type: m.machine_type.clone(),
-                zone: m.zone.clone(),
-                spot: m.spot,
-            };
-            (offer, *room)
-        });
+        let up = rooms
+            .iter()
+            .filter(|(m, _)| m.usable)
+            .map(|(m, room)| (Offer::from(*m), *room));
         let booting = self
             .machines
             .values()
@@ -400,36 +416,21 @@
         let Some(request) = self.answered(request) else {
             return;
         };
-        let offer = Offer {
-            machine_type: request.machine_type,
-            zone: request.zone,
-            spot: request.spot,
-        };
+        let offer = Offer::from(&request);
         if (names.machines.len() as u32) < request.count {
             self.refuse(now, offer.clone());
         }
         for id in &names.machines {
-            self.machines.entry(id.clone()).or_insert_with(|| Tracked {
-                offer: offer.clone(),
-                stage: Stage::Booting,
-                since: now,
-                heard: None,
-                idle_since: None,
-            });
+            self.machines
+                .entry(id.clone())
+                .or_insert_with(|| Tracked::new(offer.clone(), Stage::Booting, now));
         }
     }
 
     /// A rental request was refused for want of machines.
     pub fn rent_refused(&mut self, now: Time, request: &str) {
         if let Some(request) = self.answered(request) {
-            self.refuse(
-                now,
-                Offer {
-                    machine_type: request.machine_type,
-                    zone: request.zone,
-                    spot: request.spot,
-                },
-            );
+            self.refuse(now, Offer::from(&request));
         }
     }
 
@@ -615,6 +616,12 @@
             "same name, same request"
         );
         fleet.rent_refused(Time(3_000), &first.request);
+        let patient = plan(&mut fleet, 3_500, &demand(8, None));
+        assert_eq!(
+            patient,
+            vec![],
+            "without a deadline it waits for a spot machine"
+        );
         let second = plan(&mut fleet, 4_000, &demand(8, Some(900.0)));
         assert!(
             matches!(&second[..], [CloudRequest::Rent(r)] if !r.spot && r.request != first.request)
--- a/crates/worksshunt-core/src/objectives.rs
+++ b/crates/worksshunt-core/src/objectives.rs
@@ -51,31 +51,28 @@
         }
     }
 
-    /// Seconds after acceptance by which the job should be done, each of them, ascending.
-    fn milestones(&self, job: &Job) -> Vec<f64> {
+    /// Seconds after acceptance by which a task of the job has to start, for each thing expected of
+    /// the job.
+    fn starts(&self, job: &Job) -> Vec<f64> {
         let class = self.classes.get(&job.spec.class);
-        let mut all: Vec<f64> = class.map_or(Vec::new(), |c| c.finish_s.clone());
+        let mut done: Vec<f64> = class.map_or(Vec::new(), |c| c.finish_s.clone());
         if let Some(deadline) = job.spec.deadline_s {
             match class.filter(|c| !c.times.is_empty()) {
-                Some(class) => all.extend(class.times.iter().map(|times| times * deadline)),
-                None => all.push(deadline),
+                Some(class) => done.extend(class.times.iter().map(|times| times * deadline)),
+                None => done.push(deadline),
             }
         }
-        all.sort_by(f64::total_cmp);
-        all
+        done.into_iter()
+            .map(|done| done - job.spec.estimate_s)
+            .chain(class.and_then(|class| class.start_s))
+            .collect()
     }
 
     /// Whether something expected of the job can still be met, but not for much longer if its tasks
     /// go on waiting. A job of which nothing is expected is always pressing.
     pub fn pressing(&self, job: &Job, wall_ms: u64, guaranteed: bool) -> bool {
         let age_s = wall_ms.saturating_sub(job.accepted_ms) as f64 / 1_000.0;
-        let class = self.classes.get(&job.spec.class);
-        let mut starts: Vec<f64> = self
-            .milestones(job)
-            .into_iter()
-            .map(|milestone| milestone - job.spec.estimate_s)
-            .chain(class.and_then(|class| class.start_s))
-            .collect();
+        let mut starts = self.starts(job);
         if guaranteed {
             starts.extend(self.guarantee_s);
         }
@@ -88,16 +85,10 @@
     /// Seconds a task of the job may wait, counted from acceptance, for the first thing expected
     /// of the job to be met.
     pub fn slack_s(&self, job: &Job) -> f64 {
-        let finish = self
-            .milestones(job)
-            .first()
-            .map(|milestone| milestone - job.spec.estimate_s);
-        let start = self.classes.get(&job.spec.class).and_then(|c| c.start_s);
-        let slack = match (finish, start) {
-            (Some(finish), Some(start)) => finish.min(start),
-            (Some(slack), None) | (None, Some(slack)) => slack,
-            (None, None) => SLACK_DEFAULT_S,
-        };
-        slack.clamp(SLACK_LEAST_S, SLACK_MOST_S)
+        self.starts(job)
+            .into_iter()
+            .min_by(f64::total_cmp)
+            .unwrap_or(SLACK_DEFAULT_S)
+            .clamp(SLACK_LEAST_S, SLACK_MOST_S)
     }
 }
--- a/crates/worksshunt-core/src/quota.rs
+++ b/crates/worksshunt-core/src/quota.rs
@@ -17,6 +17,13 @@
     pub gpus: f64,
 }
 
+impl Usage {
+    /// Whether it lies within so much.
+    fn within(&self, cpus: f64, gpus: f64) -> bool {
+        self.cpus <= cpus + ROUNDING && self.gpus <= gpus + ROUNDING
+    }
+}
+
 /// What teams may use and do use.
 #[derive(Debug, Clone, Default)]
 pub struct Quota {
@@ -59,15 +66,19 @@
         };
         let (cpus, gpus) = bound(team);
         let used = self.used(&job.spec.team);
-        used.cpus + job.spec.cpus <= cpus + ROUNDING && used.gpus + job.spec.gpus <= gpus + ROUNDING
+        let with = Usage {
+            cpus: used.cpus + job.spec.cpus,
+            gpus: used.gpus + job.spec.gpus,
+        };
+        with.within(cpus, gpus)
     }
 
     /// Whether all that a team uses lies within its guarantee.
     pub fn within_guarantee(&self, name: &TeamName) -> bool {
         let used = self.used(name);
-        self.teams.get(name).is_none_or(|team| {
-            used.cpus <= team.cpus + ROUNDING && used.gpus <= team.gpus + ROUNDING
-        })
+        self.teams
+            .get(name)
+            .is_none_or(|team| used.within(team.cpus, team.gpus))
     }
 
     /// Counts one more task of the job.
