--- /dev/null
+++ b/crates/worksshunt-core/src/allotment/claims.rs
@@ -0,0 +1,186 @@
+//! Claims: what no part can hold goes to the leader, which takes machines out of their parts by a
+//! conditional write.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use serde_json::Value;
+use worksshunt_wire::peer::Phase;
+use worksshunt_wire::{JobId, MachineId};
+
+use crate::constants::{CLAIMS_AT_ONCE, CLAIM_AFTER_MS};
+use crate::jobs::Job;
+use crate::time::Time;
+
+use super::{Allotment, Due};
+
+/// Prefix of the leader's claims on machines.
+pub const CLAIMS: &str = "k/";
+
+/// Key of a claim.
+pub fn claim_key(machine: &MachineId) -> String {
+    format!("{CLAIMS}{machine}")
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ClaimState {
+    /// The conditional write is under way.
+    Writing,
+    /// The machine is kept free for the job.
+    Held,
+    /// A task was handed out on it, or the job no longer needs it.
+    Releasing,
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct Claim {
+    job: JobId,
+    state: ClaimState,
+}
+
+impl Allotment {
+    /// Claims machines for jobs whose next task has found room in no part for a while: the leader
+    /// takes them out of their parts until the task fits.
+    pub fn claim(&mut self, now: Time) {
+        self.release_idle_claims();
+        let mut free_claims = CLAIMS_AT_ONCE.saturating_sub(self.claims.len());
+        let stuck: Vec<Rc<Job>> = self
+            .jobs
+            .values()
+            .filter(|work| {
+                work.stuck_since
+                    .is_some_and(|since| now.since(since) >= CLAIM_AFTER_MS)
+            })
+            .map(|work| Rc::clone(&work.job))
+            .collect();
+        if free_claims == 0 || stuck.is_empty() {
+            return;
+        }
+        let mut narrowest: BTreeMap<&MachineId, f64> = BTreeMap::new();
+        for out in self.outs.values().filter(|o| o.phase != Phase::Completed) {
+            if let (Some(machine), Some(job)) = (&out.machine, &out.job) {
+                let least = narrowest.entry(machine).or_insert(f64::MAX);
+                *least = least.min(job.spec.cpus);
+            }
+        }
+        let mut chosen: Vec<(MachineId, JobId)> = Vec::new();
+        for job in stuck {
+            if free_claims == 0 {
+                break;
+            }
+            if self.claims.values().any(|c| c.job == job.spec.id) || !self.quota.admits(&job) {
+                continue;
+            }
+            let zones = self.allowed_zones(&job);
+            // Only a task that needs more than the next task to end will leave has to be helped;
+            // the rest find room by themselves.
+            let best = self
+                .machines()
+                .map(|view| &view.up)
+                .filter(|m| {
+                    let next = narrowest.get(&m.id).copied().unwrap_or(0.0);
+                    m.usable
+                        && !m.noticed
+                        && m.cpus + next < job.spec.cpus
+                        && !self.claims.contains_key(&m.id)
+                        && !chosen.iter().any(|(id, _)| *id == m.id)
+                        // A former leader's claim has to go first.
+                        && !self.due.contains(&Due::Remove(claim_key(&m.id)))
+                        && job.allows(&m.machine_type, &m.zone, m.spot)
+                        && zones.as_ref().is_none_or(|zones| zones.contains(&m.zone))
+                })
+                .max_by(|a, b| a.cpus.total_cmp(&b.cpus).then(b.id.cmp(&a.id)))
+                .map(|m| m.id.clone());
+            if let Some(machine) = best {
+                chosen.push((machine, job.spec.id));
+                free_claims -= 1;
+            }
+        }
+        for (machine, job) in chosen {
+            tracing::debug!(%job, %machine, "claiming a machine");
+            let state = ClaimState::Writing;
+            self.claims.insert(machine.clone(), Claim { job, state });
+            self.due.insert(Due::Claim(machine));
+        }
+    }
+
+    /// Lets go of machines that are no longer there, or whose job has no waiting task.
+    fn release_idle_claims(&mut self) {
+        let idle: Vec<MachineId> = self
+            .claims
+            .iter()
+            .filter(|(machine, claim)| {
+                let present = self
+                    .parts
+                    .values()
+                    .filter_map(|part| part.machines.get(*machine))
+                    .any(|view| view.up.usable);
+                let waiting = self.jobs.get(&claim.job).is_some_and(|w| w.waiting() > 0);
+                !present || (!waiting && !self.claim_used(machine))
+            })
+            .map(|(machine, _)| machine.clone())
+            .collect();
+        for machine in idle {
+            self.release(&machine);
+        }
+    }
+
+    fn claim_used(&self, machine: &MachineId) -> bool {
+        let outs = self.outs.values();
+        outs.filter_map(|out| out.claimed.as_ref())
+            .any(|claimed| claimed == machine)
+    }
+
+    /// Machines kept free for a job on which nothing was handed out yet.
+    pub(super) fn claims_for(&self, job: JobId) -> impl Iterator<Item = &MachineId> {
+        self.claims
+            .iter()
+            .filter(move |(_, claim)| claim.job == job && claim.state == ClaimState::Held)
+            .map(|(machine, _)| machine)
+            .filter(|machine| !self.claim_used(machine))
+    }
+
+    pub(super) fn held_claims(&self) -> BTreeSet<MachineId> {
+        let held = |(_, claim): &(&MachineId, &Claim)| claim.state == ClaimState::Held;
+        let held = self.claims.iter().filter(held);
+        held.map(|(machine, _)| machine.clone()).collect()
+    }
+
+    pub(super) fn release(&mut self, machine: &MachineId) {
+        if let Some(claim) = self.claims.get_mut(machine) {
+            claim.state = ClaimState::Releasing;
+            self.due.insert(Due::Claim(machine.clone()));
+        }
+    }
+
+    pub(super) fn release_claims_of(&mut self, job: JobId) {
+        let of_job = self.claims.iter().filter(|(_, claim)| claim.job == job);
+        let released: Vec<MachineId> = of_job.map(|(machine, _)| machine.clone()).collect();
+        for machine in released {
+            self.release(&machine);
+        }
+    }
+
+    /// A claim's value as it should be stored; none: remove it.
+    pub fn claim_value(&self, machine: &MachineId) -> Option<Value> {
+        let claim = self.claims.get(machine)?;
+        (claim.state == ClaimState::Writing)
+            .then(|| serde_json::json!({ "job": claim.job, "epoch": self.epoch }))
+    }
+
+    /// A claim, or its end, is durable.
+    pub fn claim_written(&mut self, machine: &MachineId, held: bool) {
+        match self.claims.get_mut(machine) {
+            Some(claim) if held && claim.state == ClaimState::Writing => {
+                claim.state = ClaimState::Held;
+                self.due.remove(&Due::Claim(machine.clone()));
+            }
+            // Released while it was being written: it is still due.
+            Some(_) if held => {}
+            _ => {
+                self.claims.remove(machine);
+                self.due.remove(&Due::Claim(machine.clone()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/worksshunt-core/src/allotment/handout.rs
@@ -0,0 +1,312 @@
+//! Rounds of handing out waiting tasks.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use worksshunt_wire::{Attempt, JobId, MachineId, NodeName, TaskId};
+
+use crate::constants::{ATTEMPTS_PER_EPOCH, ROUND_EVERY_MS, STARVED_MS, STARVED_SHARE};
+use crate::jobs::Job;
+use crate::placement::Room;
+use crate::time::{Budget, Now, Time};
+
+use super::parts::{Down, PartView};
+use super::{Allotment, Out, Work};
+
+/// What a job is served for in a round, in this order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Pass {
+    /// It has had nothing for so long that it gets a share of its tasks before all others.
+    Starved,
+    /// What lies within its team's guarantee.
+    Guaranteed,
+    /// What its team's limit admits.
+    Rest,
+}
+
+/// A round under way: jobs in order of service, and how far it has come.
+#[derive(Debug, Default)]
+pub(super) struct Round {
+    order: Vec<(Pass, JobId)>,
+    position: usize,
+    began: Option<Time>,
+    /// Something changed that another round may make use of.
+    stirred: bool,
+}
+
+impl Round {
+    pub fn stir(&mut self) {
+        self.stirred = true;
+    }
+}
+
+/// Where a task may go: a part, a machine with room there, and the zone if it is bound to it.
+struct Place {
+    part: NodeName,
+    machine: MachineId,
+    zone: Option<String>,
+    claimed: bool,
+}
+
+/// A part's machines that fit a job, the emptiest first, and the room on all of them.
+struct Shelf<'a> {
+    part: &'a NodeName,
+    free: f64,
+    machines: Vec<(Room, &'a MachineId)>,
+}
+
+impl<'a> Shelf<'a> {
+    /// Takes the room of one task from the fullest machine.
+    fn take(&mut self, need: &Room) -> Option<&'a MachineId> {
+        let (room, id) = self.machines.last_mut()?;
+        let id = *id;
+        room.take(need);
+        self.free -= need.cpus;
+        if !room.holds(need) {
+            self.free -= room.cpus;
+            self.machines.pop();
+        }
+        Some(id)
+    }
+}
+
+impl Allotment {
+    fn sort_jobs(&mut self, now: Now) {
+        let mut works: Vec<&Work> = self
+            .jobs
+            .values()
+            .filter(|work| work.not_before <= now.steady && work.waiting() > 0)
+            .collect();
+        works.sort_by_cached_key(|work| work.rank());
+        let mut starved: Vec<&Work> = works
+            .iter()
+            .copied()
+            .filter(|work| is_starved(work, now))
+            .collect();
+        starved.sort_by_key(|work| work.job.accepted_ms);
+        let id = |work: &&Work| work.job.spec.id;
+        let order = |pass, works: &[&Work]| -> Vec<(Pass, JobId)> {
+            works.iter().map(|work| (pass, id(work))).collect()
+        };
+        self.round.order = [
+            order(Pass::Starved, &starved),
+            order(Pass::Guaranteed, &works),
+            order(Pass::Rest, &works),
+        ]
+        .concat();
+        self.round.position = 0;
+        self.round.stirred = false;
+        self.round.began = Some(now.steady);
+    }
+
+    /// Hands out waiting tasks: first to jobs that have waited too long, then what lies within
+    /// teams' guarantees, then the rest, each by priority, deadline and age. Goes on where the last
+    /// call stopped.
+    pub fn round(&mut self, now: Now, budget: &Budget) {
+        if self.round.position >= self.round.order.len() {
+            let fresh = |began: Time| now.steady.since(began) < ROUND_EVERY_MS;
+            if !self.round.stirred || self.round.began.is_some_and(fresh) {
+                return;
+            }
+            self.sort_jobs(now);
+        }
+        while let Some((pass, id)) = self.round.order.get(self.round.position).copied() {
+            if budget.spent() {
+                return;
+            }
+            self.hand_out(now, pass, id);
+            self.round.position += 1;
+        }
+    }
+
+    fn hand_out(&mut self, now: Now, pass: Pass, id: JobId) {
+        let Some(work) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let job = Rc::clone(&work.job);
+        let waiting = work.waiting();
+        let mut most = match pass {
+            Pass::Starved => self
+                .quota
+                .admitted(&job)
+                .min((waiting / STARVED_SHARE).max(1)),
+            Pass::Guaranteed => self.quota.guaranteed(&job),
+            Pass::Rest => self.quota.admitted(&job),
+        }
+        .min(waiting);
+        if waiting == 0 {
+            work.stuck_since = None;
+        }
+        while most > 0 {
+            // Each task of such a job decides where the next may go.
+            let at_once = if job.zones_matter() { 1 } else { most };
+            let places = self.places(&job, at_once);
+            let found = places.len() as u32;
+            for place in places {
+                self.hand_out_to(now.steady, &job, place);
+            }
+            if found < at_once {
+                if let Some(work) = self.jobs.get_mut(&id) {
+                    work.stuck_since.get_or_insert(now.steady);
+                }
+                return;
+            }
+            most -= found;
+        }
+    }
+
+    fn hand_out_to(&mut self, now: Time, job: &Job, place: Place) {
+        let id = job.spec.id;
+        let Some(work) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let Some(index) = work.next_waiting() else {
+            return;
+        };
+        work.stuck_since = None;
+        work.served = Some(now);
+        self.attempts += 1;
+        let attempt = Attempt(self.epoch.0 * ATTEMPTS_PER_EPOCH + self.attempts);
+        let mut out = Out::new(TaskId { job: id, index }, place.part.clone());
+        out.zone = place.zone;
+        out.claimed = place.claimed.then(|| place.machine.clone());
+        if let Some(part) = self.parts.get_mut(&place.part) {
+            part.reserve(&place.machine, job);
+            part.post(Down::Give(attempt));
+        }
+        out.reserved = Some(place.machine);
+        self.insert_out(attempt, out);
+    }
+
+    /// Places for so many tasks of a job, as many as there are.
+    fn places(&self, job: &Job, most: u32) -> Vec<Place> {
+        let zones = self.allowed_zones(job);
+        let mut places: Vec<Place> = Vec::new();
+        if let Some(place) = self.claimed_with_room(job, zones.as_ref()) {
+            places.push(place);
+        }
+        let need = Room::of_job(job);
+        let mut shelves: Vec<Shelf> = self
+            .parts
+            .iter()
+            .map(|(name, part)| self.shelf(name, part, job, zones.as_ref()))
+            .collect();
+        while (places.len() as u32) < most {
+            // The part with the most free room that fits the task.
+            let roomiest = shelves
+                .iter_mut()
+                .filter(|shelf| !shelf.machines.is_empty())
+                .reduce(|a, b| if b.free > a.free { b } else { a });
+            let Some(shelf) = roomiest else { break };
+            let Some(machine) = shelf.take(&need) else {
+                break;
+            };
+            places.push(Place {
+                part: shelf.part.clone(),
+                machine: machine.clone(),
+                zone: zones
+                    .as_ref()
+                    .and_then(|_| self.zone_of(shelf.part, machine)),
+                claimed: false,
+            });
+        }
+        places
+    }
+
+    fn shelf<'a>(
+        &'a self,
+        name: &'a NodeName,
+        part: &'a PartView,
+        job: &Job,
+        zones: Option<&BTreeSet<String>>,
+    ) -> Shelf<'a> {
+        let need = Room::of_job(job);
+        let mut machines: Vec<(Room, &MachineId)> = part
+            .open
+            .iter()
+            .filter_map(|id| {
+                let view = part.machines.get(id)?;
+                let fits = view.room.holds(&need)
+                    && job.allows(&view.up.machine_type, &view.up.zone, view.up.spot)
+                    && zones.is_none_or(|zones| zones.contains(&view.up.zone))
+                    && !self.claims.contains_key(id);
+                fits.then_some((view.room, id))
+            })
+            .collect();
+        machines.sort_by(|(a, _), (b, _)| b.cpus.total_cmp(&a.cpus));
+        Shelf {
+            part: name,
+            free: machines.iter().map(|(room, _)| room.cpus).sum(),
+            machines,
+        }
+    }
+
+    fn zone_of(&self, part: &NodeName, machine: &MachineId) -> Option<String> {
+        let view = self.parts.get(part)?.machines.get(machine)?;
+        Some(view.up.zone.clone())
+    }
+
+    /// A machine claimed for the job that has room by now.
+    fn claimed_with_room(&self, job: &Job, zones: Option<&BTreeSet<String>>) -> Option<Place> {
+        let need = Room::of_job(job);
+        self.claims_for(job.spec.id).find_map(|machine| {
+            let (part, view) = self
+                .parts
+                .iter()
+                .find_map(|(name, part)| Some((name, part.machines.get(machine)?)))?;
+            let fits = view.up.usable
+                && view.room.holds(&need)
+                && zones.is_none_or(|zones| zones.contains(&view.up.zone));
+            fits.then(|| Place {
+                part: part.clone(),
+                machine: machine.clone(),
+                zone: zones.map(|_| view.up.zone.clone()),
+                claimed: true,
+            })
+        })
+    }
+
+    /// The zones the job's next task may be in; none where its other tasks do not decide that.
+    pub(super) fn allowed_zones(&self, job: &Job) -> Option<BTreeSet<String>> {
+        if !job.zones_matter() {
+            return None;
+        }
+        let work = self.jobs.get(&job.spec.id)?;
+        let mut counts = work.done.zones().clone();
+        let mut unplaced = false;
+        for (index, attempts) in &work.active {
+            if work.done.contains(*index) {
+                continue;
+            }
+            for attempt in attempts {
+                match self.outs.get(attempt).and_then(|out| out.zone.clone()) {
+                    Some(zone) => *counts.entry(zone).or_default() += 1,
+                    None => unplaced = true,
+                }
+            }
+        }
+        // An attempt somewhere unknown (inherited, its machine silent) may be in any zone.
+        if unplaced {
+            return Some(BTreeSet::new());
+        }
+        let all: BTreeSet<String> = self.machines().map(|m| m.up.zone.clone()).collect();
+        let fixed = job.spec.one_zone && !counts.is_empty();
+        Some(
+            all.into_iter()
+                .filter(|zone| {
+                    let count = counts.get(zone).copied().unwrap_or(0);
+                    (!fixed || count > 0) && count < job.zone_limit()
+                })
+                .collect(),
+        )
+    }
+}
+
+/// Whether a job has had nothing for so long that its age has to win.
+fn is_starved(work: &Work, now: Now) -> bool {
+    let waited_ms = match work.served {
+        Some(served) => now.steady.since(served),
+        None => now.wall_ms.saturating_sub(work.job.accepted_ms),
+    };
+    waited_ms >= STARVED_MS
+}
--- /dev/null
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -0,0 +1,621 @@
+//! The leader's work: which waiting task goes to which part.
+//!
+//! It keeps the open jobs' tasks, the teams' limits and the zones of jobs whose tasks depend on
+//! each other. A task counts from hand-out until its attempt is certainly gone. Counts are kept as
+//! things change, so an exchange costs what it brings and not what there is.
+
+mod claims;
+mod handout;
+mod parts;
+mod preempt;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use worksshunt_wire::peer::{End, Phase};
+use worksshunt_wire::settings::Facts;
+use worksshunt_wire::state::Pair;
+use worksshunt_wire::user::Priority;
+use worksshunt_wire::{Attempt, Epoch, JobId, MachineId, NodeName, Revision, TaskId};
+
+use crate::constants::{
+    ERRORS_BEFORE_BACKOFF, ERROR_BACKOFF_MAX_MS, ERROR_BACKOFF_MS, LEFT_AT_LEAST,
+};
+use crate::jobs::{completions_key, read_completions, Completions, DoneSet, Job, Mirror, DONE};
+use crate::objectives::Objectives;
+use crate::pages::{page_bytes, PageWrite, Pages};
+use crate::placement::owner;
+use crate::quota::Quota;
+use crate::records::{Recorded, RECORDS};
+use crate::time::{Now, Time};
+
+use claims::Claim;
+pub use claims::{claim_key, CLAIMS};
+use handout::Round;
+pub use parts::MachineView;
+use parts::{Down, PartView};
+
+/// An open job's tasks.
+#[derive(Debug)]
+struct Work {
+    job: Rc<Job>,
+    /// Tasks known to be done, durable or not.
+    done: DoneSet,
+    /// Those of them that are not in the store yet.
+    undurable: BTreeSet<u32>,
+    /// Attempts that may be on a machine or on their way, by task.
+    active: BTreeMap<u32, Vec<Attempt>>,
+    /// How many of those tasks are not done.
+    active_undone: u32,
+    /// Tasks seen running.
+    running: u32,
+    /// Every task below is done or active, so a search for waiting ones starts here.
+    first_waiting: u32,
+    errors: u32,
+    not_before: Time,
+    /// When a task of it was last handed out.
+    served: Option<Time>,
+    /// Since when it has had waiting tasks that no part had room for.
+    stuck_since: Option<Time>,
+}
+
+impl Work {
+    fn new(job: Rc<Job>) -> Work {
+        Work {
+            done: DoneSet::new(job.spec.tasks),
+            job,
+            undurable: BTreeSet::new(),
+            active: BTreeMap::new(),
+            active_undone: 0,
+            running: 0,
+            first_waiting: 0,
+            errors: 0,
+            not_before: Time::default(),
+            served: None,
+            stuck_since: None,
+        }
+    }
+
+    /// Order of service: by priority, deadline, age.
+    fn rank(&self) -> (std::cmp::Reverse<Priority>, u64, u64, JobId) {
+        (
+            std::cmp::Reverse(self.job.spec.priority),
+            self.job.due_ms().unwrap_or(u64::MAX),
+            self.job.accepted_ms,
+            self.job.spec.id,
+        )
+    }
+
+    fn waiting(&self) -> u32 {
+        (self.job.spec.tasks - self.done.count()).saturating_sub(self.active_undone)
+    }
+
+    fn next_waiting(&mut self) -> Option<u32> {
+        while self.first_waiting < self.job.spec.tasks {
+            let index = self.first_waiting;
+            if !self.done.contains(index) && !self.active.contains_key(&index) {
+                return Some(index);
+            }
+            self.first_waiting += 1;
+        }
+        None
+    }
+
+    fn activate(&mut self, index: u32, attempt: Attempt) {
+        let attempts = self.active.entry(index).or_default();
+        if attempts.is_empty() && !self.done.contains(index) {
+            self.active_undone += 1;
+        }
+        attempts.push(attempt);
+    }
+
+    fn deactivate(&mut self, index: u32, attempt: Attempt) {
+        let Some(attempts) = self.active.get_mut(&index) else {
+            return;
+        };
+        attempts.retain(|a| *a != attempt);
+        if attempts.is_empty() {
+            self.active.remove(&index);
+            if !self.done.contains(index) {
+                self.active_undone = self.active_undone.saturating_sub(1);
+                self.first_waiting = self.first_waiting.min(index);
+            }
+        }
+    }
+
+    /// Marks a task done; false if it was already.
+    fn finish(&mut self, index: u32) -> bool {
+        let new = self.done.insert(index);
+        if new && self.active.contains_key(&index) {
+            self.active_undone = self.active_undone.saturating_sub(1);
+        }
+        new
+    }
+
+    fn complete(&self) -> bool {
+        self.done.count() == self.job.spec.tasks
+    }
+}
+
+/// An attempt that may be on a machine or on its way to one.
+#[derive(Debug)]
+struct Out {
+    task: TaskId,
+    /// None for an attempt of a job that was over before this epoch.
+    job: Option<Rc<Job>>,
+    part: NodeName,
+    phase: Phase,
+    /// Since when it runs, once it was seen running.
+    running_since: Option<Time>,
+    machine: Option<MachineId>,
+    zone: Option<String>,
+    /// The machine its room is taken from until its owner has chosen one.
+    reserved: Option<MachineId>,
+    claimed: Option<MachineId>,
+    /// It is to be stopped, to make room.
+    preempted: bool,
+}
+
+impl Out {
+    fn new(task: TaskId, part: NodeName) -> Out {
+        Out {
+            task,
+            job: None,
+            part,
+            phase: Phase::Queued,
+            running_since: None,
+            machine: None,
+            zone: None,
+            reserved: None,
+            claimed: None,
+            preempted: false,
+        }
+    }
+
+    fn ran_ms(&self, now: Time) -> u64 {
+        self.running_since.map_or(0, |since| now.since(since))
+    }
+}
+
+/// What the leader wants written apart from completions, the most useful first.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    /// All tasks of the job are done.
+    Finish(JobId),
+    /// A claim on a machine, or its end.
+    Claim(MachineId),
+    /// A key of a former epoch that nothing needs any more.
+    Remove(String),
+}
+
+/// A group of waiting tasks, for the fleet.
+#[derive(Debug, Clone)]
+pub struct Demand {
+    /// The job.
+    pub job: Rc<Job>,
+    /// Tasks that wait and that its team's limit lets run beside those that run.
+    pub tasks: u32,
+    /// All tasks that wait.
+    pub waiting: u32,
+    /// Tasks handed out.
+    pub running: u32,
+    /// Estimated seconds the tasks handed out still take, summed up.
+    pub running_s: f64,
+    /// Seconds its tasks may wait.
+    pub slack_s: f64,
+    /// The zone they must be in.
+    pub zone: Option<String>,
+}
+
+/// The leader's state.
+#[derive(Debug)]
+pub struct Allotment {
+    epoch: Epoch,
+    attempts: u64,
+    quota: Quota,
+    objectives: Objectives,
+    jobs: BTreeMap<JobId, Work>,
+    outs: BTreeMap<Attempt, Out>,
+    parts: BTreeMap<NodeName, PartView>,
+    claims: BTreeMap<MachineId, Claim>,
+    round: Round,
+    due: BTreeSet<Due>,
+    pages: Pages<Completions>,
+    /// Machines' records of former epochs, with the attempts that may still be on machines.
+    former: Pages<Recorded>,
+}
+
+/// What a new leader finds in the store.
+#[derive(Debug, Default)]
+pub struct Found {
+    /// Pages of machines' records, with their versions.
+    pub records: Vec<(Pair, Vec<Recorded>)>,
+    /// Pages of completions.
+    pub done: Vec<Pair>,
+    /// Claims.
+    pub claims: Vec<Pair>,
+}
+
+impl Allotment {
+    /// Takes over at the start of an epoch, from what is in the store.
+    pub fn load(
+        now: Time,
+        epoch: Epoch,
+        members: &[NodeName],
+        facts: &Facts,
+        mirror: &Mirror,
+        found: &Found,
+    ) -> Allotment {
+        let mut this = Allotment {
+            epoch,
+            attempts: 0,
+            quota: Quota::new(&facts.teams),
+            objectives: Objectives::new(&facts.objectives),
+            jobs: BTreeMap::new(),
+            outs: BTreeMap::new(),
+            parts: members
+                .iter()
+                .map(|name| (name.clone(), PartView::default()))
+                .collect(),
+            claims: BTreeMap::new(),
+            round: Round::default(),
+            due: BTreeSet::new(),
+            pages: Pages::new(DONE.to_owned(), page_bytes(&facts.state)),
+            former: Pages::new(RECORDS.to_owned(), page_bytes(&facts.state)),
+        };
+        for (id, open) in mirror.open() {
+            this.jobs.insert(*id, Work::new(Rc::clone(&open.job)));
+        }
+        for pair in &found.done {
+            this.load_completions(now, pair);
+        }
+        for (pair, records) in &found.records {
+            this.load_records(now, pair, records, members);
+        }
+        // Claims of former leaders lapse.
+        for pair in &found.claims {
+            this.due.insert(Due::Remove(pair.key.clone()));
+        }
+        let complete: Vec<JobId> = this
+            .jobs
+            .iter()
+            .filter(|(_, work)| work.complete())
+            .map(|(id, _)| *id)
+            .collect();
+        this.due.extend(complete.into_iter().map(Due::Finish));
+        this
+    }
+
+    fn load_completions(&mut self, now: Time, pair: &Pair) {
+        let Some(entries) = read_completions(&pair.value) else {
+            // Results are kept by the platform: such tasks run once more and end at once.
+            tracing::error!(key = pair.key, "completions of another version are dropped");
+            self.due.insert(Due::Remove(pair.key.clone()));
+            return;
+        };
+        let mut over = Vec::new();
+        for (key, entry) in &entries {
+            let Some(work) = self.jobs.get_mut(&key.0) else {
+                over.push(*key);
+                continue;
+            };
+            for task in &entry.tasks {
+                work.finish(*task);
+            }
+            for (zone, tasks) in &entry.zones {
+                work.done.count_zone(zone, *tasks);
+            }
+            work.served = Some(now);
+        }
+        self.pages.adopt(pair.key.clone(), pair.version, entries);
+        for key in over {
+            self.pages.remove(&key, now, false);
+        }
+    }
+
+    fn load_records(&mut self, now: Time, pair: &Pair, records: &[Recorded], members: &[NodeName]) {
+        let entries = records.iter().map(|r| (r.attempt, r.clone())).collect();
+        self.former.adopt(pair.key.clone(), pair.version, entries);
+        for record in records {
+            let Some(part) = owner(&record.machine, members) else {
+                continue;
+            };
+            let mut out = Out::new(record.task, part.clone());
+            out.phase = Phase::Placed;
+            out.machine = Some(record.machine.clone());
+            self.insert_out(record.attempt, out);
+            if let Some(work) = self.jobs.get_mut(&record.task.job) {
+                work.served = Some(now);
+            }
+        }
+    }
+
+    /// A job was accepted.
+    pub fn open(&mut self, id: JobId, job: &Rc<Job>) {
+        self.jobs
+            .entry(id)
+            .or_insert_with(|| Work::new(Rc::clone(job)));
+        self.round.stir();
+    }
+
+    /// Another round may hand something out.
+    pub fn stir(&mut self) {
+        self.round.stir();
+    }
+
+    /// A job is over.
+    pub fn close(&mut self, id: JobId, now: Time) {
+        let Some(work) = self.jobs.remove(&id) else {
+            return;
+        };
+        let last = completions_key(TaskId {
+            job: id,
+            index: work.job.spec.tasks - 1,
+        });
+        for chunk in 0..=last.1 {
+            self.pages.remove(&(id, chunk), now, false);
+        }
+        for attempt in work.active.into_values().flatten() {
+            self.tell(attempt, |phase| match phase {
+                Phase::Completed => Down::Durable(attempt),
+                _ => Down::Stop(attempt),
+            });
+        }
+        self.due.remove(&Due::Finish(id));
+        self.release_claims_of(id);
+        self.round.stir();
+    }
+
+    /// Leaves word for the owner of an attempt.
+    fn tell(&mut self, attempt: Attempt, what: impl FnOnce(Phase) -> Down) {
+        if let Some(out) = self.outs.get(&attempt) {
+            if let Some(part) = self.parts.get_mut(&out.part) {
+                part.post(what(out.phase));
+            }
+        }
+    }
+
+    fn insert_out(&mut self, attempt: Attempt, mut out: Out) {
+        if self.outs.contains_key(&attempt) {
+            return;
+        }
+        if let Some(work) = self.jobs.get_mut(&out.task.job) {
+            out.job = Some(Rc::clone(&work.job));
+            work.activate(out.task.index, attempt);
+        }
+        if let Some(job) = &out.job {
+            self.quota.take(job);
+        }
+        self.outs.insert(attempt, out);
+    }
+
+    /// An attempt is certainly gone, or never left.
+    fn remove_out(&mut self, attempt: Attempt, how: End, now: Time) -> Option<Out> {
+        self.set_phase(attempt, Phase::Queued, 0, now);
+        let out = self.outs.remove(&attempt)?;
+        if let Some(job) = &out.job {
+            // A completed attempt gave its share back when it completed.
+            if out.phase != Phase::Completed {
+                self.quota.give_back(job);
+            }
+        }
+        if let (Some(part), Some(job)) = (self.parts.get_mut(&out.part), &out.job) {
+            part.unreserve(out.reserved.as_ref(), job);
+        }
+        if let Some(work) = self.jobs.get_mut(&out.task.job) {
+            work.deactivate(out.task.index, attempt);
+        }
+        self.former.remove(&attempt, now, how == End::Lost);
+        self.round.stir();
+        Some(out)
+    }
+
+    /// The one place where an attempt's phase changes. A completed attempt stays so.
+    fn set_phase(&mut self, attempt: Attempt, phase: Phase, ran_ms: u64, now: Time) {
+        let Some(out) = self.outs.get_mut(&attempt) else {
+            return;
+        };
+        if out.phase == Phase::Completed || out.phase == phase {
+            return;
+        }
+        if let Some(work) = self.jobs.get_mut(&out.task.job) {
+            match (out.phase, phase) {
+                (Phase::Running, _) => work.running = work.running.saturating_sub(1),
+                (_, Phase::Running) => work.running += 1,
+                _ => {}
+            }
+        }
+        out.phase = phase;
+        out.running_since = (phase == Phase::Running).then(|| now - ran_ms);
+    }
+
+    /// Done and running tasks of the jobs that have any.
+    pub fn progress(&self) -> Vec<(JobId, u32, u32)> {
+        self.jobs
+            .iter()
+            .map(|(id, work)| (*id, work.done.count(), work.running))
+            .filter(|(_, done, running)| done + running > 0)
+            .collect()
+    }
+
+    fn wanted(&self, task: TaskId) -> bool {
+        self.jobs
+            .get(&task.job)
+            .is_some_and(|work| !work.done.contains(task.index))
+    }
+
+    fn is_durable(&self, task: TaskId) -> bool {
+        self.jobs.get(&task.job).is_none_or(|work| {
+            work.done.contains(task.index) && !work.undurable.contains(&task.index)
+        })
+    }
+
+    fn completed(&mut self, attempt: Attempt, task: TaskId, zone: Option<&str>) {
+        let Some(work) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if !work.finish(task.index) {
+            return;
+        }
+        work.undurable.insert(task.index);
+        work.errors = 0;
+        let mut entry = Completions {
+            tasks: BTreeSet::from([task.index]),
+            zones: BTreeMap::new(),
+        };
+        if let (true, Some(zone)) = (work.job.zones_matter(), zone) {
+            work.done.count_zone(zone, 1);
+            entry.zones.insert(zone.to_owned(), 1);
+        }
+        let others = work.active.get(&task.index).cloned().unwrap_or_default();
+        if work.complete() {
+            self.due.insert(Due::Finish(task.job));
+        } else {
+            self.pages.add(completions_key(task), entry);
+        }
+        for other in others.into_iter().filter(|other| *other != attempt) {
+            self.tell(other, |_| Down::Stop(other));
+        }
+    }
+
+    fn failed(&mut self, now: Time, task: TaskId, machine: Option<&MachineId>, how: End) {
+        let Some(work) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if how == End::Error {
+            work.errors += 1;
+            tracing::info!(%task, ?machine, errors = work.errors, "task failed");
+            // A job that fails everywhere must not keep machines busy with it.
+            if let Some(doublings) = work.errors.checked_sub(ERRORS_BEFORE_BACKOFF) {
+                let wait = ERROR_BACKOFF_MS
+                    .saturating_mul(1 << doublings.min(16))
+                    .min(ERROR_BACKOFF_MAX_MS);
+                work.not_before = now + wait;
+            }
+        }
+    }
+
+    // --- what is written ------------------------------------------------------------------------
+
+    /// What waits to be written apart from completions, the most useful first.
+    pub fn due(&self) -> impl Iterator<Item = &Due> {
+        self.due.iter()
+    }
+
+    /// A key of a former epoch is gone.
+    pub fn removed(&mut self, key: &str) {
+        self.due.remove(&Due::Remove(key.to_owned()));
+    }
+
+    /// A job could not be called done: its user was faster, or it is done already.
+    pub fn not_finished(&mut self, id: JobId) {
+        self.due.remove(&Due::Finish(id));
+    }
+
+    /// The next write of completions, and of records of former epochs, of at most so many pages.
+    pub fn pages_write(&mut self, now: Time, most: usize) -> Vec<PageWrite> {
+        let mut writes = self.pages.write(now, most);
+        writes.extend(self.former.write(now, most - writes.len()));
+        writes
+    }
+
+    /// The pages under way are durable.
+    pub fn pages_written(&mut self, revision: Option<Revision>) {
+        self.former.written(revision);
+        for (job, chunk) in self.pages.written(revision) {
+            self.chunk_durable(job, chunk);
+        }
+    }
+
+    fn chunk_durable(&mut self, job: JobId, chunk: u32) {
+        // What completed since the write began is pending again and stays undurable.
+        let pending = self
+            .pages
+            .waiting(&(job, chunk))
+            .cloned()
+            .unwrap_or_default();
+        // All of a complete job becomes durable with its end.
+        let Some(work) = self.jobs.get_mut(&job).filter(|work| !work.complete()) else {
+            return;
+        };
+        let in_chunk = |index: &u32| completions_key(TaskId { job, index: *index }).1 == chunk;
+        let written: Vec<u32> = work
+            .undurable
+            .iter()
+            .copied()
+            .filter(|index| in_chunk(index) && !pending.tasks.contains(index))
+            .collect();
+        let mut attempts = Vec::new();
+        for index in written {
+            work.undurable.remove(&index);
+            attempts.extend(work.active.get(&index).into_iter().flatten().copied());
+        }
+        for attempt in attempts {
+            if self
+                .outs
+                .get(&attempt)
+                .is_some_and(|o| o.phase == Phase::Completed)
+            {
+                self.tell(attempt, |_| Down::Durable(attempt));
+            }
+        }
+    }
+
+    /// Pages whose versions have to be read.
+    pub fn uncertain_pages(&self) -> Vec<String> {
+        let uncertain = self.pages.uncertain().chain(self.former.uncertain());
+        uncertain.cloned().collect()
+    }
+
+    /// A page's version was read.
+    pub fn page_found(&mut self, key: &str, version: Revision) {
+        self.pages.found(key, version);
+        self.former.found(key, version);
+    }
+
+    // --- what the fleet asks --------------------------------------------------------------------
+
+    /// Open jobs in order of service, with as many waiting tasks as the teams' limits let run.
+    pub fn demand(&self, now: Now) -> Vec<Demand> {
+        let mut quota = self.quota.clone();
+        let mut works: Vec<&Work> = self
+            .jobs
+            .values()
+            .filter(|work| work.not_before <= now.steady)
+            .collect();
+        works.sort_by_cached_key(|work| work.rank());
+        let mut ran: BTreeMap<JobId, (u32, f64)> = BTreeMap::new();
+        for out in self.outs.values().filter(|o| o.phase != Phase::Completed) {
+            let Some(job) = &out.job else { continue };
+            let estimate_s = job.spec.estimate_s;
+            let ran_s = out.ran_ms(now.steady) as f64 / 1_000.0;
+            let left = (estimate_s - ran_s).max(estimate_s * LEFT_AT_LEAST);
+            let sum = ran.entry(out.task.job).or_default();
+            sum.0 += 1;
+            sum.1 += left;
+        }
+        let mut demand = Vec::new();
+        for work in works {
+            let (running, running_s) = ran.get(&work.job.spec.id).copied().unwrap_or_default();
+            let waiting = work.waiting();
+            let tasks = waiting.min(quota.admitted(&work.job));
+            quota.take_many(&work.job, tasks);
+            if tasks + running > 0 {
+                let zone = match self.allowed_zones(&work.job) {
+                    Some(zones) if zones.len() == 1 => zones.into_iter().next(),
+                    _ => None,
+                };
+                demand.push(Demand {
+                    job: Rc::clone(&work.job),
+                    tasks,
+                    waiting,
+                    running,
+                    running_s,
+                    slack_s: self.objectives.slack_s(&work.job),
+                    zone,
+                });
+            }
+        }
+        demand
+    }
+}
--- /dev/null
+++ b/crates/worksshunt-core/src/allotment/parts.rs
@@ -0,0 +1,291 @@
+//! The leader's view of the parts: their machines, the room there, and what their owners have to
+//! be told.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use worksshunt_wire::peer::{End, Give, MachineUp, Phase, SyncDown, SyncUp, Wishes};
+use worksshunt_wire::{Attempt, MachineId, NodeName};
+
+use crate::constants::{PROGRESS_EVERY_MS, ROUNDING};
+use crate::jobs::Job;
+use crate::placement::Room;
+use crate::time::Time;
+
+use super::{Allotment, Out};
+
+/// One machine, with the room left after what was handed out and not placed yet.
+#[derive(Debug)]
+pub struct MachineView {
+    /// As its owner last described it.
+    pub up: MachineUp,
+    /// Since when it is empty.
+    pub idle_since: Option<Time>,
+    /// What is taken from it for tasks on their way.
+    reserved: Room,
+    /// What is left.
+    pub room: Room,
+}
+
+impl MachineView {
+    fn reckon(&mut self) {
+        self.room = Room::default();
+        if self.up.usable {
+            self.room = Room {
+                cpus: self.up.cpus,
+                gpus: self.up.gpus,
+                memory_gb: self.up.memory_gb,
+            };
+            self.room.take(&self.reserved);
+        }
+    }
+}
+
+/// Something an owner has to be told once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Down {
+    Give(Attempt),
+    Stop(Attempt),
+    Durable(Attempt),
+}
+
+/// Number of an answer that was not given yet.
+const UNSENT: u64 = u64::MAX;
+
+/// A part as its owner describes it.
+#[derive(Debug, Default)]
+pub(super) struct PartView {
+    /// Answers given to its owner.
+    answers: u64,
+    /// Number of its owner's last message.
+    number: u64,
+    /// Number of the last answer its owner has acted on.
+    seen: u64,
+    pub machines: BTreeMap<MachineId, MachineView>,
+    /// Machines with room.
+    pub open: BTreeSet<MachineId>,
+    /// What its owner has to be told, each with the number of the answer that said it last.
+    outbox: Vec<(u64, Down)>,
+    /// What its owner was last told of its machines, and in which answer.
+    wishes: Option<(u64, Wishes)>,
+    progress_at: Option<Time>,
+}
+
+impl PartView {
+    pub fn post(&mut self, down: Down) {
+        self.outbox.push((UNSENT, down));
+    }
+
+    /// Takes a task's room out of a machine.
+    pub fn reserve(&mut self, id: &MachineId, job: &Job) {
+        self.adjust(id, |view| view.reserved.give_back(&Room::of_job(job)));
+    }
+
+    /// Gives reserved room back.
+    pub fn unreserve(&mut self, id: Option<&MachineId>, job: &Job) {
+        if let Some(id) = id {
+            self.adjust(id, |view| view.reserved.take(&Room::of_job(job)));
+        }
+    }
+
+    fn adjust(&mut self, id: &MachineId, change: impl FnOnce(&mut MachineView)) {
+        let Some(view) = self.machines.get_mut(id) else {
+            return;
+        };
+        change(view);
+        view.reckon();
+        if view.room.cpus > ROUNDING {
+            self.open.insert(id.clone());
+        } else {
+            self.open.remove(id);
+        }
+    }
+
+    fn describe(&mut self, up: MachineUp, now: Time) {
+        let id = up.id.clone();
+        let idle_since = up.idle_ms.map(|idle| now - idle);
+        if !self.machines.contains_key(&id) {
+            // Its owner knows nothing of what was wanted of it before.
+            self.wishes = None;
+        }
+        let view = self.machines.entry(id.clone()).or_insert(MachineView {
+            up: up.clone(),
+            idle_since,
+            reserved: Room::default(),
+            room: Room::default(),
+        });
+        view.up = up;
+        view.idle_since = idle_since;
+        self.adjust(&id, |_| {});
+    }
+
+    fn forget(&mut self, id: &MachineId) {
+        self.machines.remove(id);
+        self.open.remove(id);
+    }
+}
+
+impl Allotment {
+    /// Takes in what has changed in a part. A message that a later one has overtaken is ignored.
+    pub fn sync(&mut self, now: Time, up: SyncUp) {
+        let Some(part) = self.parts.get_mut(&up.from) else {
+            return;
+        };
+        if up.number <= part.number {
+            return;
+        }
+        part.number = up.number;
+        part.seen = up.seen;
+        part.outbox
+            .retain(|(sent, _)| *sent == UNSENT || *sent > up.seen);
+        for ended in &up.ended {
+            let known = self.remove_out(ended.attempt, ended.how, now).is_some();
+            if known && ended.how != End::Settled {
+                self.failed(now, ended.task, ended.machine.as_ref(), ended.how);
+            }
+        }
+        for listed in &up.attempts {
+            if !self.outs.contains_key(&listed.attempt) {
+                self.insert_out(listed.attempt, Out::new(listed.task, up.from.clone()));
+            }
+            self.placed(listed.attempt, &listed.machine);
+            let was = self.outs.get(&listed.attempt).map(|out| out.phase);
+            self.set_phase(listed.attempt, listed.phase, listed.ran_ms, now);
+            if listed.phase == Phase::Completed {
+                if was != Some(Phase::Completed) {
+                    self.complete_out(listed.attempt, &up);
+                }
+                if self.is_durable(listed.task) {
+                    self.tell(listed.attempt, |_| Down::Durable(listed.attempt));
+                }
+            } else if !self.wanted(listed.task) {
+                self.tell(listed.attempt, |_| Down::Stop(listed.attempt));
+            }
+        }
+        if let Some(part) = self.parts.get_mut(&up.from) {
+            for id in &up.forgotten {
+                part.forget(id);
+            }
+            for machine in up.machines {
+                part.describe(machine, now);
+            }
+        }
+        self.round.stir();
+    }
+
+    /// Its owner has chosen a machine for an attempt.
+    fn placed(&mut self, attempt: Attempt, machine: &MachineId) {
+        let Some(out) = self.outs.get_mut(&attempt) else {
+            return;
+        };
+        let reserved = out.reserved.take();
+        let part = self.parts.get_mut(&out.part);
+        if let (Some(part), Some(job)) = (part, &out.job) {
+            part.unreserve(reserved.as_ref(), job);
+            if let Some(view) = part.machines.get(machine) {
+                out.zone = Some(view.up.zone.clone());
+            }
+        }
+        out.machine = Some(machine.clone());
+        if let Some(claimed) = out.claimed.take() {
+            self.release(&claimed);
+        }
+    }
+
+    /// An attempt was reported as completed for the first time.
+    fn complete_out(&mut self, attempt: Attempt, up: &SyncUp) {
+        let Some(out) = self.outs.get_mut(&attempt) else {
+            return;
+        };
+        if let Some(job) = &out.job {
+            self.quota.give_back(job);
+        }
+        if out.zone.is_none() {
+            // Its machine may be described in the same message.
+            let described = up
+                .machines
+                .iter()
+                .find(|m| Some(&m.id) == out.machine.as_ref());
+            out.zone = described.map(|m| m.zone.clone());
+        }
+        let (task, zone) = (out.task, out.zone.clone());
+        self.completed(attempt, task, zone.as_deref());
+    }
+
+    /// The answer to a part's message last taken in. `drains` and `gone` are the fleet's.
+    pub fn answer(
+        &mut self,
+        now: Time,
+        to: &NodeName,
+        drains: &BTreeSet<MachineId>,
+        gone: &BTreeSet<MachineId>,
+    ) -> SyncDown {
+        let progress = self.progress_due(now, to).then(|| self.progress());
+        let held = self.held_claims();
+        let Some(part) = self.parts.get_mut(to) else {
+            return SyncDown::default();
+        };
+        part.answers += 1;
+        let mut down = SyncDown {
+            epoch: self.epoch,
+            number: part.number,
+            seq: part.answers,
+            progress,
+            ..SyncDown::default()
+        };
+        for (sent, message) in &mut part.outbox {
+            *sent = part.answers;
+            match message {
+                Down::Give(attempt) => {
+                    if let Some(out) = self.outs.get(attempt).filter(|o| o.machine.is_none()) {
+                        down.gives.push(Give {
+                            task: out.task,
+                            attempt: *attempt,
+                            zone: out.zone.clone(),
+                            claimed: out.claimed.clone(),
+                        });
+                    }
+                }
+                Down::Stop(attempt) => down.stops.push(*attempt),
+                Down::Durable(attempt) => down.durable.push(*attempt),
+            }
+        }
+        let known = |ids: &BTreeSet<MachineId>| -> Vec<MachineId> {
+            let known = ids.iter().filter(|id| part.machines.contains_key(id));
+            known.cloned().collect()
+        };
+        let wishes = Wishes {
+            drains: known(drains),
+            claims: known(&held),
+            gone: known(gone),
+        };
+        let known = |(seq, told): &(u64, Wishes)| *told == wishes && *seq <= part.seen;
+        if !part.wishes.as_ref().is_some_and(known) {
+            part.wishes = Some((part.answers, wishes.clone()));
+            down.wishes = Some(wishes);
+        }
+        down
+    }
+
+    fn progress_due(&mut self, now: Time, to: &NodeName) -> bool {
+        let Some(part) = self.parts.get_mut(to) else {
+            return false;
+        };
+        let due = part
+            .progress_at
+            .is_none_or(|at| now.since(at) >= PROGRESS_EVERY_MS);
+        if due {
+            part.progress_at = Some(now);
+        }
+        due
+    }
+
+    /// All machines of all parts.
+    pub fn machines(&self) -> impl Iterator<Item = &MachineView> {
+        self.parts.values().flat_map(|part| part.machines.values())
+    }
+
+    /// Whether every part has described itself in this epoch.
+    pub fn all_heard(&self) -> bool {
+        self.parts.values().all(|part| part.answers > 0)
+    }
+}
--- /dev/null
+++ b/crates/worksshunt-core/src/allotment/preempt.rs
@@ -0,0 +1,202 @@
+//! Stopping tasks to make room for others.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use worksshunt_wire::peer::{MachineUp, Phase};
+use worksshunt_wire::user::Priority;
+use worksshunt_wire::{Attempt, JobId, MachineId};
+
+use crate::constants::PREEMPT_AFTER_MS;
+use crate::jobs::Job;
+use crate::placement::Room;
+use crate::quota::Quota;
+use crate::time::{Budget, Now};
+
+use super::parts::Down;
+use super::{Allotment, Work};
+
+/// A task that may be stopped for another.
+struct Victim {
+    /// The work that would be lost, milliseconds.
+    loses_ms: u64,
+    attempt: Attempt,
+    job: Rc<Job>,
+}
+
+/// A machine with the room that is or will be free there, and what runs on it.
+struct Ground<'a> {
+    machine: &'a MachineUp,
+    room: Room,
+    /// Least loss first.
+    victims: Vec<Victim>,
+}
+
+/// A job that waits for room, in order of service.
+type Stuck = ((std::cmp::Reverse<Priority>, u64, u64, JobId), Rc<Job>, u32);
+
+impl Allotment {
+    /// Stops tasks to make room for waiting ones that have found none for a while: work of lower
+    /// priority, and work that another team runs beyond its guarantee for a team within its own.
+    /// What would be served before the waiting task anyway is never stopped for it, so nothing is
+    /// stopped twice in a row.
+    pub fn preempt(&mut self, now: Now, budget: &Budget) {
+        let waits = |work: &&Work| {
+            let long = |since| now.steady.since(since) >= PREEMPT_AFTER_MS;
+            work.stuck_since.is_some_and(long)
+                && !work.job.zones_matter()
+                && self.quota.admits(&work.job)
+                && self.presses(&work.job, now, self.quota.guarantees(&work.job))
+        };
+        let mut stuck: Vec<Stuck> = self
+            .jobs
+            .values()
+            .filter(waits)
+            .map(|work| (work.rank(), Rc::clone(&work.job), work.waiting()))
+            .collect();
+        if stuck.is_empty() {
+            return;
+        }
+        stuck.sort_by_key(|(rank, _, _)| *rank);
+        let chosen = self.choose_victims(&stuck, now, budget);
+        for attempt in chosen {
+            if let Some(out) = self.outs.get_mut(&attempt) {
+                out.preempted = true;
+            }
+            self.tell(attempt, |_| Down::Stop(attempt));
+        }
+    }
+
+    fn presses(&self, job: &Job, now: Now, guaranteed: bool) -> bool {
+        self.objectives.pressing(job, now.wall_ms, guaranteed)
+    }
+
+    fn choose_victims(&self, stuck: &[Stuck], now: Now, budget: &Budget) -> Vec<Attempt> {
+        let mut grounds = self.grounds(now);
+        let mut quota = self.quota.clone();
+        let mut chosen = Vec::new();
+        for (_, job, waiting) in stuck {
+            for _ in 0..*waiting {
+                let guaranteed = quota.guarantees(job);
+                if budget.spent() {
+                    return chosen;
+                }
+                if !quota.admits(job)
+                    || !self.presses(job, now, guaranteed)
+                    || !make_room(job, &mut quota, &mut grounds, &mut chosen)
+                {
+                    break;
+                }
+            }
+        }
+        chosen
+    }
+
+    fn grounds(&self, now: Now) -> BTreeMap<MachineId, Ground<'_>> {
+        let mut grounds: BTreeMap<MachineId, Ground> = self
+            .machines()
+            .filter(|view| view.up.usable && !view.up.noticed)
+            .filter(|view| !self.claims.contains_key(&view.up.id))
+            .map(|view| {
+                let ground = Ground {
+                    machine: &view.up,
+                    room: view.room,
+                    victims: Vec::new(),
+                };
+                (view.up.id.clone(), ground)
+            })
+            .collect();
+        for (attempt, out) in &self.outs {
+            let (Some(id), Some(job)) = (&out.machine, &out.job) else {
+                continue;
+            };
+            let Some(ground) = grounds.get_mut(id) else {
+                continue;
+            };
+            if out.phase == Phase::Completed {
+                continue;
+            }
+            if out.preempted {
+                // Room that earlier stops will leave.
+                ground.room.give_back(&Room::of_job(job));
+                continue;
+            }
+            let ran_ms = out.ran_ms(now.steady);
+            let loses_ms = match job.spec.checkpoint_s {
+                every if every > 0.0 => ran_ms.min((every * 1_000.0) as u64),
+                _ => ran_ms,
+            };
+            ground.victims.push(Victim {
+                loses_ms,
+                attempt: *attempt,
+                job: Rc::clone(job),
+            });
+        }
+        for ground in grounds.values_mut() {
+            ground.victims.sort_by_key(|v| (v.loses_ms, v.attempt));
+        }
+        grounds
+    }
+}
+
+/// Makes room for one task of the job where that loses least work; false if nothing can.
+fn make_room(
+    job: &Job,
+    quota: &mut Quota,
+    grounds: &mut BTreeMap<MachineId, Ground>,
+    chosen: &mut Vec<Attempt>,
+) -> bool {
+    let need = Room::of_job(job);
+    let guaranteed = quota.guarantees(job);
+    let mut best: Option<(u64, MachineId, Vec<usize>)> = None;
+    for (id, ground) in grounds.iter() {
+        let machine = ground.machine;
+        if !job.allows(&machine.machine_type, &machine.zone, machine.spot) {
+            continue;
+        }
+        let mut room = ground.room;
+        let mut cost = 0;
+        let mut stopped: Vec<usize> = Vec::new();
+        for (index, victim) in ground.victims.iter().enumerate() {
+            if room.holds(&need) {
+                break;
+            }
+            // Those before it may have brought its team back within its guarantee.
+            let same_team = stopped
+                .iter()
+                .map(|i| &ground.victims[*i].job)
+                .filter(|other| other.spec.team == victim.job.spec.team);
+            let over = quota.over_guarantee_without(&victim.job.spec.team, same_team);
+            if may_stop(&victim.job, over, job, guaranteed) {
+                room.give_back(&Room::of_job(&victim.job));
+                cost += victim.loses_ms;
+                stopped.push(index);
+            }
+        }
+        if room.holds(&need) && best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
+            best = Some((cost, id.clone(), stopped));
+        }
+    }
+    let Some((lost_ms, id, stopped)) = best else {
+        return false;
+    };
+    quota.take(job);
+    if let Some(ground) = grounds.get_mut(&id) {
+        for index in stopped.into_iter().rev() {
+            let victim = ground.victims.remove(index);
+            ground.room.give_back(&Room::of_job(&victim.job));
+            quota.give_back(&victim.job);
+            tracing::debug!(attempt = %victim.attempt, machine = %id, lost_ms, job = %job.spec.id, "preempted");
+            chosen.push(victim.attempt);
+        }
+        ground.room.take(&need);
+    }
+    true
+}
+
+/// Whether a task of `other`, whose team is `over` its guarantee or not, may be stopped for one of
+/// `job`, which lies within its team's guarantee (`guaranteed`) or not.
+fn may_stop(other: &Job, over: bool, job: &Job, guaranteed: bool) -> bool {
+    let lower = other.spec.priority < job.spec.priority;
+    (guaranteed && over && other.spec.team != job.spec.team) || (lower && (guaranteed || over))
+}
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -40,8 +40,24 @@
 /// Milliseconds between exchanges of an owner with the leader when nothing presses.
 pub const SYNC_EVERY_MS: u64 = 500;
 
-/// Milliseconds between exchanges when something has changed.
-pub const SYNC_PRESSING_MS: u64 = 50;
+/// Milliseconds between exchanges when something has changed: often enough not to be felt beside
+/// workers' reports, which come every half second at most.
+pub const SYNC_PRESSING_MS: u64 = 100;
+
+/// Milliseconds between two tellings of jobs' progress to a part's owner. Users see it in answers to
+/// polls 5 s apart.
+pub const PROGRESS_EVERY_MS: u64 = 1_000;
+
+/// Milliseconds between the beginnings of two rounds of handing out.
+pub const ROUND_EVERY_MS: u64 = 50;
+
+/// Milliseconds after which a job that had no task handed out comes before all others: less than half
+/// of the four minutes within which even the largest job must begin, so that it holds under a burst.
+pub const STARVED_MS: u64 = 100_000;
+
+/// One in so many of its waiting tasks, and at least one, is what such a job gets at a time: enough
+/// to get it done in the end, little enough not to turn the order of service around.
+pub const STARVED_SHARE: u32 = 8;
 
 /// Milliseconds after which an exchange is given up and repeated.
 pub const SYNC_DEADLINE_MS: u64 = 1_000;
@@ -55,9 +71,30 @@
 /// Milliseconds to wait before a refused or unanswered state service request is repeated.
 pub const STORE_RETRY_MS: u64 = 300;
 
-/// Share of the state service's write limit that one controller uses on its own: the busiest of
-/// three may have half, and a 429 corrects the rest.
-pub const WRITE_SHARE: f64 = 0.45;
+/// Share of the state service's write limit that all owners together use for machines' records: the
+/// part that must not wait, because nothing is launched before it.
+pub const RECORD_SHARE: f64 = 0.5;
+
+/// Share of the write limit that the leader uses for ends of jobs and claims. A job's end takes two
+/// changes, and users wait for it.
+pub const END_SHARE: f64 = 0.2;
+
+/// Share of the write limit that the leader uses for pages of completions. They are many to a page and
+/// nobody waits for them; with a share of their own they cannot keep the ends of jobs from theirs.
+pub const PAGE_SHARE: f64 = 0.1;
+
+/// Share of the write limit that one controller uses for submissions and cancellations. They come in
+/// bursts at one controller or another; a 429 corrects what is too much together.
+pub const USER_WRITE_SHARE: f64 = 0.3;
+
+/// Pages in one write: five of the largest values seen (8 KiB) would fill a transaction.
+pub const PAGES_AT_ONCE: usize = 4;
+
+/// Bytes of a page left for its frame and for estimates of its entries that are too low.
+pub const PAGE_MARGIN_BYTES: usize = 512;
+
+/// Milliseconds a page may list what is no longer needed before it is written for that alone.
+pub const LAZY_PAGE_MS: u64 = 5_000;
 
 /// Share of the state service's request limit that one controller uses for users' questions. Three
 /// use three quarters; watches, renewals, control reads and writes have the rest.
@@ -82,12 +119,16 @@
 
 /// Milliseconds without an answer of the state service, nor a word from any peer, after which a
 /// controller is not healthy.
-pub const HEALTH_STORE_MS: u64 = 12_000;
+pub const HEALTH_STORE_MS: u64 = 5_000;
 
 /// Milliseconds without an answer of the state service after which user requests are refused at
 /// once rather than after a deadline.
 pub const STORE_SILENT_MS: u64 = 2_500;
 
+/// Milliseconds a submission waits for its turn to be written before its user is asked to come back:
+/// half of what users wait for an answer.
+pub const SUBMIT_PATIENCE_MS: u64 = 2_500;
+
 /// Seconds a refused user is asked to wait: the least the protocol knows.
 pub const RETRY_AFTER_S: u64 = 1;
 
@@ -101,8 +142,9 @@
 /// Tasks of a job (protocol).
 pub const MAX_TASKS: u32 = 100_000;
 
-/// Tasks per completion record: 2 KiB of bits, well inside the smallest value limit seen (8 KiB).
-pub const DONE_CHUNK: u32 = 16_384;
+/// Tasks of a job per entry of completions: the worst entry, every other task done, still fits a page
+/// of the smallest value limit seen (8 KiB).
+pub const DONE_CHUNK: u32 = 1_024;
 
 /// Final job states kept in memory per controller; the rest is read from the store when asked.
 pub const FINALS_KEPT: usize = 10_000;
@@ -117,8 +159,19 @@
 /// Milliseconds without direct orders to a worker that left some unanswered.
 pub const ORDERS_PAUSE_MS: u64 = 10_000;
 
-/// Milliseconds a removal may wait for another write of the same record.
-pub const LAZY_RECORD_MS: u64 = 5_000;
+/// Milliseconds between probes of a worker that may not be reached.
+pub const PROBE_PAUSE_MS: u64 = 3_000;
+
+/// Answers in a row that a worker's reports show no sign of, after which it counts as not reached. One
+/// report may have left before the first answer came, one answer may have been lost.
+pub const UNHEEDED_ANSWERS: u32 = 4;
+
+/// Milliseconds after which a machine that is heard but not reached goes back: more than two leases,
+/// so a machine that merely hung has had its chance.
+pub const UNREACHED_RETURN_MS: u64 = 40_000;
+
+/// Machines outside the part whose newest report is remembered, to know late copies by.
+pub const SIGHTINGS_KEPT: usize = 4_096;
 
 /// Milliseconds a part may hold a task it finds no machine for before handing it back.
 pub const QUEUED_MS: u64 = 4_000;
@@ -168,6 +221,12 @@
 /// Longest wait of a failing job, milliseconds.
 pub const ERROR_BACKOFF_MAX_MS: u64 = 60_000;
 
+/// Milliseconds between two looks at tasks that have found no room for long.
+pub const PRESS_EVERY_MS: u64 = 1_000;
+
+/// Milliseconds before records that could not be understood are read again.
+pub const UNREADABLE_PAUSE_MS: u64 = 5_000;
+
 /// Milliseconds between two looks at the fleet.
 pub const FLEET_EVERY_MS: u64 = 1_000;
 
@@ -208,6 +267,10 @@
 /// Milliseconds a machine stays empty, with nothing waiting, before it is returned.
 pub const IDLE_RETURN_MS: u64 = 25_000;
 
+/// Milliseconds a machine that the cloud lists as running counts as one that will take work without
+/// having been heard of: four reports. At the start of an epoch all are like that for a moment.
+pub const UNHEARD_SUPPLY_MS: u64 = 10_000;
+
 /// Times the nominal boot time after which a starting machine is given up ...
 pub const BOOT_FACTOR: f64 = 3.0;
 
--- /dev/null
+++ b/crates/worksshunt-core/src/controller/epochs.rs
@@ -0,0 +1,387 @@
+//! Answers of the state service, and what a new epoch calls for.
+
+use worksshunt_wire::state::{Changes, Listing, Pair};
+use worksshunt_wire::user::JobState;
+use worksshunt_wire::Epoch;
+
+use crate::allotment::{Allotment, Found, CLAIMS};
+use crate::constants::*;
+use crate::fleet::Fleet;
+use crate::jobs::{read_final, MirrorChange, DONE, OPEN};
+use crate::membership::{Finding, Standing};
+use crate::placement::owner;
+use crate::records::{self, Recorded, UnknownForm, RECORDS};
+use crate::time::{Now, Periodic, Time};
+use crate::users::{settled, unknown, Reply};
+
+use super::writes::Lane;
+use super::{store, Action, Controller, Leader, Loading, StoreOp, StoreReply, StoreTag};
+
+/// Loading under way.
+#[derive(Debug, Default)]
+pub(super) struct Load {
+    step: Option<Loading>,
+    records: Vec<Pair>,
+    done: Vec<Pair>,
+    claims: Vec<Pair>,
+}
+
+impl Controller {
+    pub(super) fn changed(&mut self, now: Time, changes: &Changes) {
+        let changes = self.mirror.apply(changes);
+        self.mirror_changed(now, changes);
+    }
+
+    pub(super) fn mirror_changed(&mut self, now: Time, changes: Vec<MirrorChange>) {
+        for change in changes {
+            match change {
+                MirrorChange::Opened(id) => {
+                    if let (Some(leader), Some(open)) = (&mut self.leader, self.mirror.get(id)) {
+                        leader.allotment.open(id, &open.job);
+                    }
+                }
+                MirrorChange::Closed(id) => {
+                    self.part.stop_job(id, now);
+                    if let Some(leader) = &mut self.leader {
+                        leader.allotment.close(id, now);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn store(
+        &mut self,
+        now: Now,
+        tag: StoreTag,
+        sent: Time,
+        reply: StoreReply,
+        out: &mut Vec<Action>,
+    ) {
+        let t = now.steady;
+        let answered = !matches!(reply, StoreReply::Refused | StoreReply::Unknown);
+        if answered {
+            self.store_heard = t;
+        }
+        match tag {
+            StoreTag::NewHold => {
+                self.hold_turn
+                    .retry(t, if answered { 0 } else { STORE_RETRY_MS });
+                if let StoreReply::Hold(hold) = reply {
+                    self.membership.granted(hold);
+                    self.control_turn.next = t;
+                }
+            }
+            StoreTag::Join => match reply {
+                StoreReply::Committed(version) => {
+                    self.hold_turn.retry(t, 0);
+                    self.control_turn.next = t;
+                    self.membership.joined(version);
+                }
+                StoreReply::Conflict(_) => {
+                    self.hold_turn.retry(t, STORE_RETRY_MS);
+                    self.control_turn.next = t;
+                    self.membership.key_overtaken();
+                }
+                StoreReply::NoSuchHold => {
+                    self.hold_turn.retry(t, 0);
+                    self.membership.lost_hold();
+                }
+                _ => self.hold_turn.retry(t, STORE_RETRY_MS),
+            },
+            StoreTag::Renew(hold) => {
+                self.hold_turn.in_flight = false;
+                match reply {
+                    StoreReply::NoSuchHold if self.membership.hold() == Some(hold) => {
+                        tracing::info!(hold, "the hold ran out");
+                        self.hold_turn.next = t;
+                        self.leave();
+                    }
+                    StoreReply::Renewed => {}
+                    _ => self.hold_turn.next = t + STORE_RETRY_MS,
+                }
+            }
+            StoreTag::Control => {
+                self.control_turn.in_flight = false;
+                match reply {
+                    StoreReply::Listing(listing) => self.control(t, sent, &listing, out),
+                    _ => self.control_turn.next = t + STORE_RETRY_MS,
+                }
+            }
+            StoreTag::Propose => {
+                self.propose_turn.retry(t, 0);
+                self.control_turn.next = t;
+            }
+            StoreTag::Open => {
+                self.open_turn.retry(t, STORE_RETRY_MS);
+                if let StoreReply::Listing(listing) = reply {
+                    if !self.mirror.loaded() {
+                        let changes = self.mirror.load(&listing);
+                        self.mirror_changed(t, changes);
+                    }
+                }
+            }
+            StoreTag::Follow => match reply {
+                StoreReply::Changes(changes) => {
+                    self.follow_turn.retry(t, FOLLOW_PAUSE_MS);
+                    self.changed(t, &changes);
+                }
+                StoreReply::TooOld => {
+                    self.follow_turn.retry(t, 0);
+                    self.reload_mirror(out);
+                }
+                _ => self.follow_turn.retry(t, STORE_RETRY_MS),
+            },
+            StoreTag::CatchUp => self.caught_up(t, reply, out),
+            StoreTag::Load(epoch, step) => {
+                let loading = self.membership.standing() == Standing::Loading;
+                if loading && epoch == self.membership.token() {
+                    self.load_answer(t, step, reply, out);
+                }
+            }
+            StoreTag::Records(epoch) if epoch == self.membership.token() => {
+                self.lane_answer(Lane::Records, t, sent, reply);
+            }
+            StoreTag::Pages(epoch) if epoch == self.membership.token() => {
+                self.lane_answer(Lane::Pages, t, sent, reply);
+            }
+            StoreTag::Ends(epoch) if epoch == self.membership.token() => {
+                self.lane_answer(Lane::Ends, t, sent, reply);
+            }
+            // Of a former epoch.
+            StoreTag::Records(_) | StoreTag::Pages(_) | StoreTag::Ends(_) => {}
+            StoreTag::Refresh(epoch, key) => {
+                if epoch == self.membership.token() {
+                    self.refreshed(t, &key, reply);
+                }
+            }
+            StoreTag::Learn(id) => match reply {
+                StoreReply::Found(pair) => {
+                    self.learning.remove(&id);
+                    if let Some(state) = read_final(&pair.value) {
+                        self.mirror.remember_final(id, state);
+                    }
+                }
+                StoreReply::Missing => {
+                    self.learning.remove(&id);
+                }
+                _ => self.to_learn.push_back(id),
+            },
+            StoreTag::Accept => self.accept_answer(t, reply, out),
+            StoreTag::Withdraw(ask) => match reply {
+                StoreReply::Committed(_) => {
+                    let id = ask.id;
+                    self.mirror.remember_final(id, JobState::Cancelled);
+                    self.mirror_changed(t, vec![MirrorChange::Closed(id)]);
+                    out.push(Action::Reply(
+                        ask.request,
+                        settled(&ask, JobState::Cancelled),
+                    ));
+                }
+                StoreReply::Conflict(_) => self.users.wait(ask),
+                _ => out.push(Action::Reply(
+                    ask.request,
+                    Reply::later("not cancelled yet"),
+                )),
+            },
+            StoreTag::Final(ask) => match reply {
+                StoreReply::Found(pair) => match read_final(&pair.value) {
+                    Some(state) => {
+                        self.mirror.remember_final(ask.id, state);
+                        out.push(Action::Reply(ask.request, settled(&ask, state)));
+                    }
+                    None => {
+                        tracing::error!(key = pair.key, "final state cannot be read");
+                        out.push(Action::Reply(ask.request, Reply::later("unreadable state")));
+                    }
+                },
+                StoreReply::Missing => self.step(t, unknown(ask), out),
+                _ => out.push(Action::Reply(
+                    ask.request,
+                    Reply::later("the state service does not answer"),
+                )),
+            },
+            StoreTag::Catalog => {
+                if let (StoreReply::Found(pair), None) = (reply, &self.catalog) {
+                    self.catalog = serde_json::from_value(pair.value).ok();
+                    self.catalog_kept.clone_from(&self.catalog);
+                }
+            }
+            StoreTag::KeepCatalog(catalog) => {
+                if let StoreReply::Committed(_) = reply {
+                    self.catalog_kept = Some(catalog);
+                }
+            }
+        }
+    }
+
+    pub(super) fn reload_mirror(&mut self, out: &mut Vec<Action>) {
+        self.mirror.outdated();
+        for ask in self.users.read() {
+            out.push(Action::Reply(
+                ask.request,
+                Reply::later("reading jobs again"),
+            ));
+        }
+    }
+
+    fn control(&mut self, now: Time, sent: Time, listing: &Listing, out: &mut Vec<Action>) {
+        match self.membership.control_read(sent, listing) {
+            Finding::Steady => {}
+            Finding::Evicted => {
+                tracing::info!("the member key is gone");
+                self.leave();
+            }
+            Finding::NewEpoch => {
+                self.new_epoch(now, out);
+            }
+            Finding::Propose(txn) => {
+                if self.propose_turn.due(now) {
+                    self.propose_turn.sent(now, 0);
+                    store(out, StoreTag::Propose, StoreOp::Txn(txn));
+                }
+            }
+        }
+    }
+
+    pub(super) fn leave(&mut self) {
+        self.membership.lost_hold();
+        self.leader = None;
+        self.forget_part();
+    }
+
+    fn new_epoch(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.leader = None;
+        self.load = Load::default();
+        self.load_retry = Periodic::default();
+        let owners = self
+            .membership
+            .epoch()
+            .map_or(0, |epoch| epoch.owners().len());
+        self.lanes.begin(owners);
+        self.sync_turn = Periodic::default();
+        self.list_turn = Periodic::default();
+        self.fleet_turn = Periodic::default();
+        self.press_turn = Periodic::default();
+        if self.membership.standing() == Standing::Loading {
+            self.load_step(now, out);
+        } else {
+            self.forget_part();
+        }
+    }
+
+    fn forget_part(&mut self) {
+        self.part.clear();
+        self.part_of = None;
+    }
+
+    pub(super) fn load_step(&mut self, now: Time, out: &mut Vec<Action>) {
+        let step = *self.load.step.get_or_insert(Loading::Records);
+        let tag = StoreTag::Load(self.membership.token(), step);
+        let op = match (step, self.mirror.revision()) {
+            (Loading::Records, _) => StoreOp::List(RECORDS.to_owned()),
+            (Loading::Done, _) => StoreOp::List(DONE.to_owned()),
+            (Loading::Claims, _) => StoreOp::List(CLAIMS.to_owned()),
+            (Loading::Mirror, Some(since)) => StoreOp::Follow(OPEN.to_owned(), since, 0),
+            (Loading::Mirror, None) => {
+                // The first reading is under way.
+                self.load_retry.retry(now, STORE_RETRY_MS);
+                return;
+            }
+        };
+        self.load_retry.sent(now, 0);
+        store(out, tag, op);
+    }
+
+    fn load_answer(&mut self, now: Time, step: Loading, reply: StoreReply, out: &mut Vec<Action>) {
+        if self.load.step != Some(step) {
+            return;
+        }
+        let next = match (step, reply) {
+            (Loading::Records, StoreReply::Listing(listing)) => {
+                self.load.records = listing.pairs;
+                if self.membership.leads() {
+                    Loading::Done
+                } else {
+                    Loading::Mirror
+                }
+            }
+            (Loading::Done, StoreReply::Listing(listing)) => {
+                self.load.done = listing.pairs;
+                Loading::Claims
+            }
+            (Loading::Claims, StoreReply::Listing(listing)) => {
+                self.load.claims = listing.pairs;
+                Loading::Mirror
+            }
+            (Loading::Mirror, StoreReply::Changes(changes)) => {
+                self.changed(now, &changes);
+                self.finish_loading(now);
+                return;
+            }
+            (Loading::Mirror, StoreReply::TooOld) => {
+                self.mirror.outdated();
+                Loading::Mirror
+            }
+            _ => {
+                self.load_retry.retry(now, STORE_RETRY_MS);
+                return;
+            }
+        };
+        self.load.step = Some(next);
+        self.load_step(now, out);
+    }
+
+    fn finish_loading(&mut self, now: Time) {
+        let Some(epoch) = self.membership.epoch().cloned() else {
+            return;
+        };
+        let mut load = std::mem::take(&mut self.load);
+        let read = |pair: Pair| {
+            let records = records::read(&pair)?;
+            Ok((pair, records))
+        };
+        let pages: Result<Vec<_>, UnknownForm> = load.records.drain(..).map(read).collect();
+        let pages = match pages {
+            Ok(pages) => pages,
+            Err(error) => {
+                // Acting without knowing what may run would run tasks twice.
+                tracing::error!(%error, "cannot serve");
+                self.load_retry.retry(now, UNREADABLE_PAUSE_MS);
+                return;
+            }
+        };
+        let names = epoch.owners();
+        let me = self.membership.me();
+        let just_before = Epoch(epoch.number.0 - 1);
+        let before = self
+            .part_of
+            .take()
+            .filter(|(number, _)| *number == just_before)
+            .map_or(Vec::new(), |(_, names)| names);
+        let on: Vec<Recorded> = pages.iter().flat_map(|(_, on)| on.clone()).collect();
+        self.part.load(
+            now,
+            (epoch.number, me),
+            &on,
+            &self.mirror,
+            |machine| owner(machine, &names) == Some(me),
+            |machine| owner(machine, &before) == Some(me),
+        );
+        self.part_of = Some((epoch.number, names.clone()));
+        if self.membership.leads() {
+            let found = Found {
+                records: pages,
+                done: load.done,
+                claims: load.claims,
+            };
+            let facts = &self.settings.facts;
+            self.leader = Some(Leader {
+                allotment: Allotment::load(now, epoch.number, &names, facts, &self.mirror, &found),
+                fleet: Fleet::new(epoch.number, now, facts.cloud.list_lag_s),
+            });
+            tracing::info!(epoch = %epoch.number, members = names.len(), "leading");
+        }
+        self.membership.loaded();
+    }
+}
--- /dev/null
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -0,0 +1,451 @@
+//! One controller: takes events in, keeps the state, gives actions out.
+
+mod epochs;
+mod events;
+mod requests;
+mod writes;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use worksshunt_wire::cloud::Catalog;
+use worksshunt_wire::peer::{PeerAnswer, PeerRequest, SyncDown, SyncUp};
+use worksshunt_wire::settings::Settings;
+use worksshunt_wire::state::{Change, Txn};
+use worksshunt_wire::{Epoch, JobId, NodeName};
+
+use crate::allotment::Allotment;
+use crate::constants::*;
+use crate::fleet::{CloudRequest, Fleet};
+use crate::jobs::{Mirror, OPEN};
+use crate::machines::Part;
+use crate::membership::{Membership, Standing, CONTROL};
+use crate::placement::Parameters;
+use crate::quota::Quota;
+use crate::time::{Bucket, Budget, Now, Periodic, Time};
+use crate::users::{Progress, Question, Reply, Users};
+
+use epochs::Load;
+pub use events::{Action, CloudReply, Event, Loading, StoreOp, StoreReply, StoreTag};
+use writes::Lanes;
+
+struct Leader {
+    allotment: Allotment,
+    fleet: Fleet,
+}
+
+/// Key of the catalogue kept for restarts during an outage of the cloud.
+const CATALOG_KEY: &str = "t/catalog";
+
+/// One controller.
+pub struct Controller {
+    settings: Settings,
+    quota: Quota,
+    membership: Membership,
+    mirror: Mirror,
+    users: Users,
+    part: Part,
+    /// The epoch the part was loaded for, and its members.
+    part_of: Option<(Epoch, Vec<NodeName>)>,
+    leader: Option<Leader>,
+    load: Load,
+    load_retry: Periodic,
+    catalog: Option<Catalog>,
+    /// The catalogue as it is in the store, where known.
+    catalog_kept: Option<Catalog>,
+    progress: Progress,
+    lanes: Lanes,
+    /// Jobs whose final state is to be read as soon as the share of reads allows, in the order in
+    /// which they were asked for.
+    to_learn: VecDeque<JobId>,
+    learning: BTreeSet<JobId>,
+    reads: Bucket,
+    store_heard: Time,
+    doubt_turn: Periodic,
+    /// When a peer last said that the state service answers it, and that it does not.
+    peer_well: Option<Time>,
+    peer_unwell: Option<Time>,
+    reach_retry: Time,
+    reach_retry_ms: u64,
+    hold_turn: Periodic,
+    control_turn: Periodic,
+    propose_turn: Periodic,
+    open_turn: Periodic,
+    follow_turn: Periodic,
+    catch_up_turn: Periodic,
+    accept_turn: Periodic,
+    sync_turn: Periodic,
+    sync_last: Time,
+    catalog_turn: Periodic,
+    list_turn: Periodic,
+    fleet_turn: Periodic,
+    press_turn: Periodic,
+    summary_at: Time,
+    summary_every_ms: u64,
+    cloud_calls: Bucket,
+}
+
+impl Controller {
+    /// A controller that has just started.
+    pub fn new(settings: Settings, parameters: Parameters) -> Controller {
+        let facts = &settings.facts;
+        let cloud_rate = facts.cloud.rps * CLOUD_SHARE;
+        let read_rate = facts.state.rps * READ_SHARE;
+        Controller {
+            quota: Quota::new(&facts.teams),
+            membership: Membership::new(settings.host_name.clone()),
+            mirror: Mirror::default(),
+            users: Users::default(),
+            summary_every_ms: parameters.summary_every_ms,
+            part: Part::new(parameters, &facts.workers, &facts.state),
+            part_of: None,
+            leader: None,
+            load: Load::default(),
+            load_retry: Periodic::default(),
+            catalog: None,
+            catalog_kept: None,
+            progress: Progress::new(),
+            lanes: Lanes::new(&facts.state),
+            to_learn: VecDeque::new(),
+            learning: BTreeSet::new(),
+            reads: Bucket::new(read_rate, read_rate.max(1.0)),
+            store_heard: Time::default(),
+            doubt_turn: Periodic::default(),
+            peer_well: None,
+            peer_unwell: None,
+            reach_retry: Time::default(),
+            reach_retry_ms: REACH_RETRY_MS,
+            hold_turn: Periodic::default(),
+            control_turn: Periodic::default(),
+            propose_turn: Periodic::default(),
+            open_turn: Periodic::default(),
+            follow_turn: Periodic::default(),
+            catch_up_turn: Periodic::default(),
+            accept_turn: Periodic::default(),
+            sync_turn: Periodic::default(),
+            sync_last: Time::default(),
+            catalog_turn: Periodic::default(),
+            list_turn: Periodic::default(),
+            fleet_turn: Periodic::default(),
+            press_turn: Periodic::default(),
+            summary_at: Time::default(),
+            cloud_calls: Bucket::new(cloud_rate, cloud_rate.max(1.0)),
+            settings,
+        }
+    }
+
+    /// Takes in an event. `clock` reads the steady clock, for the budgets of decision rounds.
+    pub fn handle(&mut self, now: Now, event: Event, clock: &dyn Fn() -> Time) -> Vec<Action> {
+        let mut out = Vec::new();
+        let budget = Budget {
+            until: now.steady + ROUND_BUDGET_MS,
+            clock,
+        };
+        match event {
+            Event::Tick => self.tick(now, &budget, &mut out),
+            Event::Submit(request, body) => self.submit(now, request, &body, &mut out),
+            Event::Status(request, id) => {
+                self.ask(now, request, &id, Question::Status, &mut out);
+            }
+            Event::Withdraw(request, id) => {
+                self.ask(now, request, &id, Question::Withdraw, &mut out);
+            }
+            Event::Health(request) => {
+                let reply = self.health(now.steady);
+                out.push(Action::Reply(request, reply));
+            }
+            Event::Report(request, body) => {
+                let reply = self.report(now.steady, &body);
+                out.push(Action::Reply(request, reply));
+            }
+            Event::Store(tag, sent, reply) => self.store(now, tag, sent, reply, &mut out),
+            Event::Cloud(request, reply) => self.cloud(now.steady, &request, reply),
+            Event::Ordered(orders, reply) => {
+                if let (true, Some(catalog)) = (
+                    orders.orders.token == self.membership.token(),
+                    &self.catalog,
+                ) {
+                    let token = orders.orders.token;
+                    self.part
+                        .ordered(now.steady, &orders, &reply, token, catalog);
+                }
+            }
+            Event::Peer(request, PeerRequest::Sync(up)) => {
+                let answer = match self.lead_sync(now, up, &budget) {
+                    Some(down) => PeerAnswer::Sync(down),
+                    None => PeerAnswer::NotLeader,
+                };
+                out.push(Action::PeerReply(request, answer));
+            }
+            Event::Peer(request, PeerRequest::StoreHealth) => {
+                let well = now.steady.since(self.store_heard) < STORE_DOUBT_MS;
+                out.push(Action::PeerReply(request, PeerAnswer::StoreHealth(well)));
+            }
+            Event::PeerStore(well) => {
+                let word = if well {
+                    &mut self.peer_well
+                } else {
+                    &mut self.peer_unwell
+                };
+                *word = Some(now.steady);
+            }
+            Event::PeerAnswer(answer) => {
+                self.sync_turn.in_flight = false;
+                match answer {
+                    Some(PeerAnswer::Sync(down)) if down.epoch == self.membership.token() => {
+                        self.apply_sync(now.steady, down);
+                    }
+                    _ => self.part.unanswered(),
+                }
+            }
+        }
+        self.user_turns(now.steady, &mut out);
+        self.part_turns(now, &budget, &mut out);
+        out
+    }
+
+    /// Moves tasks on as far as they go now: placed, recorded, launched, reported to the leader.
+    fn part_turns(&mut self, now: Now, budget: &Budget, out: &mut Vec<Action>) {
+        let t = now.steady;
+        if self.membership.standing() != Standing::Serving {
+            return;
+        }
+        self.sync_turn(now, budget, out);
+        self.part.place(t, &self.mirror, budget);
+        if self.membership.has_authority(t) {
+            self.write_turns(t, out);
+            for orders in self.part.direct_orders(t, self.membership.token()) {
+                out.push(Action::Orders(orders));
+            }
+        }
+    }
+
+    /// A controller that alone has lost the state service should get no users; when all have lost
+    /// it, taking them all out of service helps nobody, since coming back is slow. One that has lost
+    /// its peers as well cannot know, and is unhealthy.
+    fn health(&self, now: Time) -> Reply {
+        let silent_ms = now.since(self.store_heard);
+        let lately = |word: Option<Time>| word.is_some_and(|at| now.since(at) < STORE_WORD_MS);
+        let store = silent_ms < STORE_DOUBT_MS
+            || (!lately(self.peer_well)
+                && (silent_ms < HEALTH_STORE_MS || lately(self.peer_unwell)));
+        if self.mirror.loaded() && self.catalog.is_some() && store {
+            Reply::json(200, &serde_json::json!({ "healthy": true }))
+        } else {
+            Reply::later("not ready")
+        }
+    }
+
+    /// Asks the peers when the state service is silent here.
+    fn doubt_turn(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now.since(self.store_heard) >= STORE_DOUBT_MS && self.doubt_turn.due(now) {
+            self.doubt_turn.next = now + STORE_ASK_MS;
+            for peer in &self.settings.known {
+                let to = peer.host_name.clone();
+                out.push(Action::Peer(to, PeerRequest::StoreHealth));
+            }
+        }
+    }
+
+    // --- time -----------------------------------------------------------------------------------
+
+    fn tick(&mut self, now: Now, budget: &Budget, out: &mut Vec<Action>) {
+        let t = now.steady;
+        self.membership_turns(t, out);
+        self.mirror_turns(t, out);
+        self.doubt_turn(t, out);
+        for request in self.users.overdue(t) {
+            out.push(Action::Reply(request, Reply::later("not accepted yet")));
+        }
+        if self.catalog_turn.due(t) {
+            if self.catalog.is_none() {
+                store(out, StoreTag::Catalog, StoreOp::Get(CATALOG_KEY.to_owned()));
+            }
+            self.catalog_turn.sent(t, CATALOG_EVERY_MS);
+            out.push(Action::Cloud(CloudRequest::Catalog));
+        }
+        match self.membership.standing() {
+            Standing::Loading if self.load_retry.due(t) => self.load_step(t, out),
+            Standing::Serving => {
+                if self.membership.has_authority(t) {
+                    self.part.tick(t);
+                    self.reach_turn(t);
+                }
+                self.lead(now, budget, out);
+            }
+            _ => {}
+        }
+        if t.since(self.summary_at) >= self.summary_every_ms {
+            self.summary_at = t;
+            let summary = self.part.summary();
+            if summary != "none" {
+                tracing::info!(summary, "over-capacity placements");
+            }
+        }
+    }
+
+    fn membership_turns(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.hold_turn.due(now) {
+            match (self.membership.standing(), self.membership.hold()) {
+                (Standing::Homeless, _) | (_, None) => {
+                    self.hold_turn.sent(now, STORE_RETRY_MS);
+                    store(out, StoreTag::NewHold, StoreOp::NewHold);
+                }
+                (_, Some(hold)) => {
+                    if let Some(txn) = self.join_txn() {
+                        self.hold_turn.sent(now, STORE_RETRY_MS);
+                        store(out, StoreTag::Join, StoreOp::Txn(txn));
+                    } else {
+                        self.hold_turn.sent(now, RENEW_EVERY_MS);
+                        store(out, StoreTag::Renew(hold), StoreOp::Renew(hold));
+                    }
+                }
+            }
+        }
+        if self.control_turn.due(now) {
+            self.control_turn.sent(now, CONTROL_EVERY_MS);
+            store(out, StoreTag::Control, StoreOp::List(CONTROL.to_owned()));
+        }
+    }
+
+    fn join_txn(&mut self) -> Option<Txn> {
+        if self.membership.has_to_write_key() {
+            self.membership.join_txn()
+        } else {
+            None
+        }
+    }
+
+    /// Steps back from owning machines while workers do not reach this controller, and offers itself
+    /// again from time to time: nothing else could show that they would.
+    fn reach_turn(&mut self, now: Time) {
+        if self.membership.reached() {
+            if self.part.unreached(now) {
+                self.membership.set_reached(false);
+                self.reach_retry = now + self.reach_retry_ms;
+                self.reach_retry_ms = (self.reach_retry_ms * 2).min(REACH_RETRY_MAX_MS);
+            }
+        } else if now >= self.reach_retry {
+            self.membership.set_reached(true);
+        }
+    }
+
+    fn mirror_turns(&mut self, now: Time, out: &mut Vec<Action>) {
+        match self.mirror.revision() {
+            None if self.open_turn.due(now) => {
+                self.open_turn.sent(now, STORE_RETRY_MS);
+                store(out, StoreTag::Open, StoreOp::List(OPEN.to_owned()));
+            }
+            Some(since) if self.follow_turn.due(now) => {
+                self.follow_turn.sent(now, 0);
+                let op = StoreOp::Follow(OPEN.to_owned(), since, FOLLOW_WAIT_MS);
+                let deadline_ms = FOLLOW_WAIT_MS + STORE_DEADLINE_MS;
+                out.push(Action::Store(StoreTag::Follow, op, deadline_ms));
+            }
+            _ => {}
+        }
+    }
+
+    // --- leader and owners ----------------------------------------------------------------------
+
+    fn lead(&mut self, now: Now, budget: &Budget, out: &mut Vec<Action>) {
+        let t = now.steady;
+        if !self.membership.has_authority(t) {
+            return;
+        }
+        let (Some(leader), Some(catalog)) = (&mut self.leader, &self.catalog) else {
+            return;
+        };
+        if self.press_turn.due(t) && leader.allotment.all_heard() {
+            self.press_turn.next = t + PRESS_EVERY_MS;
+            leader.allotment.claim(t);
+            leader.allotment.preempt(now, budget);
+            // What time alone brings about: jobs that may be tried again, or have waited too long.
+            leader.allotment.stir();
+        }
+        leader.allotment.round(now, budget);
+        if self.list_turn.due(t) && self.cloud_calls.available(t) > 0 {
+            self.cloud_calls.take(1);
+            self.list_turn.sent(t, LIST_EVERY_MS);
+            out.push(Action::Cloud(CloudRequest::List));
+        }
+        let may_call = self.cloud_calls.available(t) > 0;
+        if self.fleet_turn.due(t) && may_call && leader.allotment.all_heard() {
+            self.fleet_turn.next = t + FLEET_EVERY_MS;
+            if self.catalog_kept.is_none() {
+                let txn = Txn {
+                    conditions: self.membership.condition().into_iter().collect(),
+                    changes: vec![Change::Put {
+                        key: CATALOG_KEY.to_owned(),
+                        value: serde_json::json!(catalog),
+                        hold: None,
+                    }],
+                };
+                let tag = StoreTag::KeepCatalog(catalog.clone());
+                store(out, tag, StoreOp::Txn(txn));
+            }
+            leader.fleet.heard(t, leader.allotment.machines());
+            let demand = leader.allotment.demand(now);
+            let requests = leader
+                .fleet
+                .plan(t, catalog, leader.allotment.machines(), &demand);
+            for request in requests {
+                self.cloud_calls.take(1);
+                out.push(Action::Cloud(request));
+            }
+        }
+    }
+
+    /// Takes in a part's changes as the leader; none if it does not lead the part's epoch.
+    fn lead_sync(&mut self, now: Now, up: SyncUp, budget: &Budget) -> Option<SyncDown> {
+        if up.epoch != self.membership.token() || !self.membership.has_authority(now.steady) {
+            return None;
+        }
+        let leader = self.leader.as_mut()?;
+        let from = up.from.clone();
+        leader.allotment.sync(now.steady, up);
+        leader.allotment.round(now, budget);
+        let (drains, gone) = (leader.fleet.drains(), leader.fleet.gone());
+        Some(leader.allotment.answer(now.steady, &from, &drains, &gone))
+    }
+
+    fn sync_turn(&mut self, now: Now, budget: &Budget, out: &mut Vec<Action>) {
+        let t = now.steady;
+        let every_ms = if self.part.changed() {
+            SYNC_PRESSING_MS
+        } else {
+            SYNC_EVERY_MS
+        };
+        if self.sync_turn.in_flight || t.since(self.sync_last) < every_ms {
+            return;
+        }
+        let Some(leader) = self.membership.epoch().map(|e| e.leader.name.clone()) else {
+            return;
+        };
+        self.sync_last = t;
+        let me = self.membership.me().clone();
+        let up = self.part.sync_up(t, self.membership.token(), &me);
+        if self.membership.leads() {
+            match self.lead_sync(now, up, budget) {
+                Some(down) => self.apply_sync(t, down),
+                None => self.part.unanswered(),
+            }
+        } else {
+            self.sync_turn.in_flight = true;
+            out.push(Action::Peer(leader, PeerRequest::Sync(up)));
+        }
+    }
+
+    fn apply_sync(&mut self, now: Time, down: SyncDown) {
+        self.part.apply(&down, now);
+        if let Some(progress) = down.progress {
+            self.progress = progress
+                .into_iter()
+                .map(|(id, done, running)| (id, (done, running)))
+                .collect::<BTreeMap<_, _>>();
+        }
+    }
+}
+
+fn store(out: &mut Vec<Action>, tag: StoreTag, op: StoreOp) {
+    out.push(Action::Store(tag, op, STORE_DEADLINE_MS));
+}
--- /dev/null
+++ b/crates/worksshunt-core/src/controller/requests.rs
@@ -0,0 +1,316 @@
+//! Requests of users and workers, and the cloud's answers.
+
+use worksshunt_wire::worker::{Redirect, Report, ReportAnswer};
+use worksshunt_wire::JobId;
+
+use crate::constants::*;
+use crate::fleet::CloudRequest;
+use crate::jobs::{check_possible, final_key, open_key, parse, Job, Refusal, OPEN};
+use crate::placement::owner;
+use crate::time::{Now, Time};
+use crate::users::{accepted, resolve, settled, Ask, Question, Reply, RequestId, Step};
+
+use super::{store, Action, CloudReply, Controller, StoreOp, StoreReply, StoreTag};
+
+impl Controller {
+    /// Sends what users' requests wait for, as soon as it can leave.
+    pub(super) fn user_turns(&mut self, now: Time, out: &mut Vec<Action>) {
+        let may_read = self.reads.available(now) > 0;
+        if self.catch_up_turn.due(now) && self.users.wants_read() && may_read {
+            if let Some(since) = self.mirror.revision() {
+                self.users.reading();
+                self.reads.take(1);
+                self.catch_up_turn.sent(now, 0);
+                let op = StoreOp::Follow(OPEN.to_owned(), since, 0);
+                store(out, StoreTag::CatchUp, op);
+            }
+        }
+        while self.reads.available(now) > 0 {
+            let Some(id) = self.to_learn.pop_front() else {
+                break;
+            };
+            self.reads.take(1);
+            store(out, StoreTag::Learn(id), StoreOp::Get(final_key(id)));
+        }
+        if self.accept_turn.due(now) {
+            let most = self
+                .lanes
+                .user_writes
+                .available(now)
+                .min(self.settings.facts.state.txn_ops);
+            if let Some(txn) = self.users.accept_txn(most) {
+                self.lanes.user_writes.take(txn.changes.len());
+                self.accept_turn.sent(now, 0);
+                store(out, StoreTag::Accept, StoreOp::Txn(txn));
+            }
+        }
+    }
+
+    /// Whether the state service has been silent so long that asking it would only cost time.
+    fn store_silent(&self, now: Time) -> bool {
+        now.since(self.store_heard) > STORE_SILENT_MS
+    }
+
+    pub(super) fn ask(
+        &mut self,
+        now: Now,
+        request: RequestId,
+        id: &str,
+        question: Question,
+        out: &mut Vec<Action>,
+    ) {
+        let reply = match id.parse::<JobId>() {
+            Err(_) => Reply::error(404, "no such job"),
+            Ok(id) => {
+                let ask = Ask {
+                    request,
+                    id,
+                    question,
+                };
+                match self.mirror.final_state(id) {
+                    Some(state) => settled(&ask, state),
+                    None => match self.queue(now.steady, ask) {
+                        Ok(()) => return,
+                        Err(reply) => reply,
+                    },
+                }
+            }
+        };
+        out.push(Action::Reply(request, reply));
+    }
+
+    fn queue(&mut self, now: Time, ask: Ask) -> Result<(), Reply> {
+        if !self.mirror.loaded() {
+            return Err(Reply::later("starting"));
+        }
+        if self.store_silent(now) {
+            return Err(Reply::later("the state service does not answer"));
+        }
+        if self.users.full() {
+            return Err(Reply::later("too many requests wait"));
+        }
+        self.users.wait(ask);
+        Ok(())
+    }
+
+    pub(super) fn submit(
+        &mut self,
+        now: Now,
+        request: RequestId,
+        body: &[u8],
+        out: &mut Vec<Action>,
+    ) {
+        let most = (self.settings.facts.state.value_kb * 1_024.0) as usize;
+        let checked = parse(body).and_then(|spec| {
+            let id = Some(spec.id);
+            let kept = serde_json::to_string(&spec).map_or(usize::MAX, |text| text.len());
+            if kept.saturating_add(JOB_FRAME_BYTES) > most {
+                let text = "longer than the state service keeps".to_owned();
+                return Err((id, Refusal::Malformed(text)));
+            }
+            match &self.catalog {
+                None => Ok(None),
+                Some(catalog) => check_possible(&spec, catalog, &self.quota)
+                    .map(|()| Some(spec))
+                    .map_err(|refusal| (id, refusal)),
+            }
+        });
+        let reply = match checked {
+            Ok(None) => Reply::later("machine types not known yet"),
+            Ok(Some(spec)) => {
+                let id = spec.id;
+                let known = self.mirror.get(id).is_some();
+                let job = Box::new(Job {
+                    spec,
+                    accepted_ms: now.wall_ms,
+                });
+                let ask = Ask {
+                    request,
+                    id,
+                    question: Question::Submit(job),
+                };
+                if let Some(state) = self.mirror.final_state(id) {
+                    settled(&ask, state)
+                } else if known {
+                    match self.queue(now.steady, ask) {
+                        Ok(()) => return,
+                        Err(reply) => reply,
+                    }
+                } else if !self.mirror.loaded() || self.store_silent(now.steady) {
+                    Reply::later("the state service does not answer")
+                } else if self.users.full() {
+                    Reply::later("too many requests wait")
+                } else {
+                    if let Question::Submit(job) = ask.question {
+                        self.users.accept(now.steady, request, job);
+                    }
+                    return;
+                }
+            }
+            Err((None, refusal)) => Reply::refusal(&refusal),
+            Err((Some(id), refusal)) => {
+                let ask = Ask {
+                    request,
+                    id,
+                    question: Question::Unacceptable(refusal),
+                };
+                match self.queue(now.steady, ask) {
+                    Ok(()) => return,
+                    Err(reply) => reply,
+                }
+            }
+        };
+        out.push(Action::Reply(request, reply));
+    }
+
+    pub(super) fn step(&mut self, now: Time, step: Step, out: &mut Vec<Action>) {
+        match step {
+            Step::Answer(request, reply) => out.push(Action::Reply(request, reply)),
+            // Whoever comes first while the share lasts would always find it used up by the same
+            // others: what had to be put off is read in its turn, and the next question finds it.
+            Step::LookUpFinal(ask)
+                if !self.to_learn.is_empty() || self.reads.available(now) == 0 =>
+            {
+                if self.to_learn.len() < FINALS_KEPT && self.learning.insert(ask.id) {
+                    self.to_learn.push_back(ask.id);
+                }
+                let reply = Reply::later("too many questions at once");
+                out.push(Action::Reply(ask.request, reply));
+            }
+            Step::LookUpFinal(ask) => {
+                self.reads.take(1);
+                let op = StoreOp::Get(final_key(ask.id));
+                store(out, StoreTag::Final(ask), op);
+            }
+            Step::Withdraw(ask, txn) => self.write_withdrawal(ask, txn, out),
+            Step::Accept(request, job) => self.users.accept(now, request, job),
+        }
+    }
+
+    fn resolve(&mut self, now: Time, asks: Vec<Ask>, out: &mut Vec<Action>) {
+        for ask in asks {
+            let open = self.mirror.get(ask.id);
+            let known_final = self.mirror.final_state(ask.id);
+            let step = resolve(ask, open, known_final, &self.progress);
+            self.step(now, step, out);
+        }
+    }
+
+    pub(super) fn caught_up(&mut self, now: Time, reply: StoreReply, out: &mut Vec<Action>) {
+        self.catch_up_turn.retry(now, 0);
+        match reply {
+            StoreReply::Changes(changes) if self.mirror.loaded() => {
+                self.changed(now, &changes);
+                let asks = self.users.read();
+                self.resolve(now, asks, out);
+            }
+            StoreReply::TooOld => self.reload_mirror(out),
+            _ => {
+                for ask in self.users.read() {
+                    let reply = Reply::later("the state service does not answer");
+                    out.push(Action::Reply(ask.request, reply));
+                }
+            }
+        }
+    }
+
+    pub(super) fn accept_answer(&mut self, now: Time, reply: StoreReply, out: &mut Vec<Action>) {
+        self.accept_turn.retry(now, 0);
+        let jobs = self.users.accept_answered();
+        match reply {
+            StoreReply::Committed(_) => {
+                for (_, request, job) in jobs {
+                    out.push(Action::Reply(request, accepted(job.spec.id)));
+                }
+            }
+            StoreReply::Conflict(failed) => {
+                for (_, request, job) in jobs {
+                    let id = job.spec.id;
+                    if failed.contains(&open_key(id)) || failed.contains(&final_key(id)) {
+                        self.users.wait(Ask {
+                            request,
+                            id,
+                            question: Question::Submit(job),
+                        });
+                    } else {
+                        self.users.accept(now, request, job);
+                    }
+                }
+            }
+            // Certainly not executed, most likely for the limit: there is time for another try.
+            StoreReply::Refused if !self.store_silent(now) => {
+                self.accept_turn.retry(now, STORE_RETRY_MS);
+                self.users.accept_again(jobs);
+            }
+            _ => {
+                for (_, request, _) in jobs {
+                    out.push(Action::Reply(request, Reply::later("not accepted yet")));
+                }
+                for request in self.users.refuse_all() {
+                    let reply = Reply::later("the state service does not answer");
+                    out.push(Action::Reply(request, reply));
+                }
+            }
+        }
+    }
+
+    pub(super) fn report(&mut self, now: Time, body: &[u8]) -> Reply {
+        let report: Report = match serde_json::from_slice(body) {
+            Ok(report) => report,
+            Err(error) => return Reply::error(400, &error.to_string()),
+        };
+        let names = self.membership.epoch().map(|epoch| epoch.owners());
+        let names = names.unwrap_or_default();
+        match (owner(&report.machine, &names), &self.catalog) {
+            (Some(name), _) if name != self.membership.me() => Reply::json(
+                421,
+                &Redirect {
+                    report_to: Some(name.clone()),
+                },
+            ),
+            (Some(_), Some(catalog)) if self.membership.has_authority(now) => {
+                let token = self.membership.token();
+                let commands = self.part.report(now, &report, token, catalog);
+                Reply::json(200, &ReportAnswer { token, commands })
+            }
+            _ => Reply::later("not entitled to act now"),
+        }
+    }
+
+    pub(super) fn cloud(&mut self, now: Time, request: &CloudRequest, reply: CloudReply) {
+        match (request, reply) {
+            (CloudRequest::Catalog, CloudReply::Catalog(catalog)) => {
+                self.catalog_turn.in_flight = false;
+                self.catalog = Some(catalog);
+            }
+            (CloudRequest::Catalog, _) => self.catalog_turn.retry(now, CATALOG_RETRY_MS),
+            (CloudRequest::List, reply) => {
+                self.list_turn.in_flight = false;
+                if let (CloudReply::List(list), Some(leader)) = (reply, &mut self.leader) {
+                    leader.fleet.listed(now, &list.machines);
+                }
+            }
+            (CloudRequest::Rent(request), reply) => {
+                let Some(leader) = &mut self.leader else {
+                    return;
+                };
+                match reply {
+                    CloudReply::Machines(names) => {
+                        leader.fleet.rented(now, &request.request, &names);
+                        // One request may not have been enough.
+                        self.fleet_turn.next = now;
+                    }
+                    CloudReply::NoCapacity => leader.fleet.rent_refused(now, &request.request),
+                    _ => leader.fleet.rent_unanswered(&request.request),
+                }
+            }
+            (CloudRequest::Return(names), reply) => {
+                let Some(leader) = &mut self.leader else {
+                    return;
+                };
+                let gone = matches!(reply, CloudReply::Machines(_)).then_some(names);
+                leader.fleet.returned(now, gone);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/worksshunt-core/src/controller/writes.rs
@@ -0,0 +1,364 @@
+//! Conditional writes of an epoch.
+//!
+//! Each lane has one write under way, conditional on the epoch and on the version of every key it
+//! changes where a late copy could do harm. A write without a clear answer is repeated unchanged:
+//! whatever happens to its copies, it is applied once or never.
+
+use worksshunt_wire::settings::StateLimits;
+use worksshunt_wire::state::{Change, Condition, Txn};
+use worksshunt_wire::{JobId, MachineId, Revision};
+
+use crate::allotment::{claim_key, Due};
+use crate::constants::*;
+use crate::jobs::{final_key, final_value, open_key};
+use crate::membership::EPOCH;
+use crate::pages::PageWrite;
+use crate::time::{Bucket, Periodic, Time};
+use crate::users::Ask;
+
+use super::{store, Action, Controller, StoreOp, StoreReply, StoreTag};
+use worksshunt_wire::user::JobState;
+
+/// Which of an epoch's writes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Lane {
+    /// Machines' records of the own part.
+    Records,
+    /// Completions, and machines' records of former epochs (leader).
+    Pages,
+    /// Ends of jobs and claims (leader).
+    Ends,
+}
+
+/// One write among the ends.
+#[derive(Debug, Clone)]
+enum End {
+    Finish(JobId),
+    Claim(MachineId, bool),
+    Remove(String),
+}
+
+/// What became of a write.
+enum Outcome {
+    /// It was applied, at that revision if it is known.
+    Applied(Option<Revision>),
+    /// It can never be applied: these keys have changed.
+    Refuted(Vec<String>),
+    /// Open, or not applied yet.
+    Unclear,
+}
+
+#[derive(Debug, Default)]
+struct Line {
+    turn: Periodic,
+    under_way: Option<Txn>,
+}
+
+/// The lanes, and the shares of the state service's limit that they keep to.
+pub(super) struct Lanes {
+    records: Line,
+    pages: Line,
+    ends: Line,
+    refresh: Periodic,
+    ending: Vec<End>,
+    write_rps: f64,
+    txn_ops: usize,
+    record_writes: Bucket,
+    page_writes: Bucket,
+    end_writes: Bucket,
+    /// For submissions and cancellations.
+    pub user_writes: Bucket,
+}
+
+impl Lanes {
+    pub fn new(state: &StateLimits) -> Lanes {
+        let rate = |share: f64| state.write_rps * share;
+        let burst = state.txn_ops as f64;
+        Lanes {
+            records: Line::default(),
+            pages: Line::default(),
+            ends: Line::default(),
+            refresh: Periodic::default(),
+            ending: Vec::new(),
+            write_rps: state.write_rps,
+            txn_ops: state.txn_ops,
+            record_writes: Bucket::new(rate(RECORD_SHARE), PAGES_AT_ONCE as f64),
+            page_writes: Bucket::new(rate(PAGE_SHARE), PAGES_AT_ONCE as f64),
+            end_writes: Bucket::new(rate(END_SHARE), burst),
+            user_writes: Bucket::new(rate(USER_WRITE_SHARE), burst),
+        }
+    }
+
+    /// Starts anew in an epoch with so many owners.
+    pub fn begin(&mut self, owners: usize) {
+        self.records = Line::default();
+        self.pages = Line::default();
+        self.ends = Line::default();
+        self.refresh = Periodic::default();
+        self.ending.clear();
+        let rate = self.write_rps * RECORD_SHARE / owners.max(1) as f64;
+        self.record_writes = Bucket::new(rate, PAGES_AT_ONCE as f64);
+    }
+
+    fn line(&mut self, lane: Lane) -> &mut Line {
+        match lane {
+            Lane::Records => &mut self.records,
+            Lane::Pages => &mut self.pages,
+            Lane::Ends => &mut self.ends,
+        }
+    }
+}
+
+impl Controller {
+    /// Sends what has to be written now.
+    pub(super) fn write_turns(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.refresh_turn(now, out);
+        self.lane_turn(Lane::Records, now, out);
+        if self.leader.is_some() {
+            self.lane_turn(Lane::Ends, now, out);
+            self.lane_turn(Lane::Pages, now, out);
+        }
+    }
+
+    fn lane_turn(&mut self, lane: Lane, now: Time, out: &mut Vec<Action>) {
+        let line = self.lanes.line(lane);
+        if !line.turn.due(now) {
+            return;
+        }
+        if line.under_way.is_none() {
+            let Some(epoch) = self.membership.condition() else {
+                return;
+            };
+            let mut txn = Txn {
+                conditions: vec![epoch],
+                changes: Vec::new(),
+            };
+            match lane {
+                Lane::Records => self.record_txn(now, &mut txn),
+                Lane::Pages => self.pages_txn(now, &mut txn),
+                Lane::Ends => self.ends_txn(now, &mut txn),
+            }
+            if txn.changes.is_empty() {
+                return;
+            }
+            self.lanes.line(lane).under_way = Some(txn);
+        }
+        let token = self.membership.token();
+        let line = self.lanes.line(lane);
+        let Some(txn) = line.under_way.clone() else {
+            return;
+        };
+        line.turn.sent(now, 0);
+        let changes = txn.changes.len();
+        let (tag, writes) = match lane {
+            Lane::Records => (StoreTag::Records(token), &mut self.lanes.record_writes),
+            Lane::Pages => (StoreTag::Pages(token), &mut self.lanes.page_writes),
+            Lane::Ends => (StoreTag::Ends(token), &mut self.lanes.end_writes),
+        };
+        writes.take(changes);
+        store(out, tag, StoreOp::Txn(txn));
+    }
+
+    fn record_txn(&mut self, now: Time, txn: &mut Txn) {
+        let most = self.lanes.record_writes.available(now).min(PAGES_AT_ONCE);
+        add_pages(txn, self.part.record_write(now, most));
+    }
+
+    fn pages_txn(&mut self, now: Time, txn: &mut Txn) {
+        let most = self.lanes.page_writes.available(now).min(PAGES_AT_ONCE);
+        if let Some(leader) = &mut self.leader {
+            add_pages(txn, leader.allotment.pages_write(now, most));
+        }
+    }
+
+    fn ends_txn(&mut self, now: Time, txn: &mut Txn) {
+        let most = self.lanes.end_writes.available(now).min(self.lanes.txn_ops);
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let dues: Vec<Due> = leader.allotment.due().take(most).cloned().collect();
+        for due in dues {
+            if txn.changes.len() + 2 > most {
+                break;
+            }
+            match due {
+                Due::Finish(id) => {
+                    // The mirror knows no more of it: it is over already.
+                    let Some(open) = self.mirror.get(id) else {
+                        leader.allotment.not_finished(id);
+                        continue;
+                    };
+                    txn.conditions.push(Condition {
+                        key: open_key(id),
+                        version: open.version,
+                    });
+                    txn.changes.push(Change::Delete { key: open_key(id) });
+                    txn.changes.push(Change::Put {
+                        key: final_key(id),
+                        value: final_value(JobState::Done),
+                        hold: None,
+                    });
+                    self.lanes.ending.push(End::Finish(id));
+                }
+                Due::Claim(machine) => {
+                    let key = claim_key(&machine);
+                    let value = leader.allotment.claim_value(&machine);
+                    let held = value.is_some();
+                    txn.changes.push(match value {
+                        Some(value) => {
+                            let version = Revision(0);
+                            txn.conditions.push(Condition {
+                                key: key.clone(),
+                                version,
+                            });
+                            Change::Put {
+                                key,
+                                value,
+                                hold: None,
+                            }
+                        }
+                        None => Change::Delete { key },
+                    });
+                    self.lanes.ending.push(End::Claim(machine, held));
+                }
+                Due::Remove(key) => {
+                    txn.changes.push(Change::Delete { key: key.clone() });
+                    self.lanes.ending.push(End::Remove(key));
+                }
+            }
+        }
+    }
+
+    /// A write was answered, or not.
+    pub(super) fn lane_answer(&mut self, lane: Lane, now: Time, sent: Time, reply: StoreReply) {
+        let line = self.lanes.line(lane);
+        if !line.turn.in_flight {
+            return;
+        }
+        let outcome = match reply {
+            StoreReply::Committed(revision) => {
+                self.membership.confirmed(sent);
+                Outcome::Applied(Some(revision))
+            }
+            StoreReply::Conflict(failed) if failed.iter().any(|key| key == EPOCH) => {
+                self.control_turn.next = now;
+                Outcome::Unclear
+            }
+            // Nobody else writes an owner's pages, the leader's pages or its claims in its epoch: a
+            // copy of this write was applied before.
+            StoreReply::Conflict(failed) => {
+                let own =
+                    |key: &String| lane != Lane::Ends || key.starts_with(crate::allotment::CLAIMS);
+                if failed.iter().any(own) {
+                    Outcome::Applied(None)
+                } else {
+                    Outcome::Refuted(failed)
+                }
+            }
+            _ => Outcome::Unclear,
+        };
+        let line = self.lanes.line(lane);
+        let wait_ms = match outcome {
+            Outcome::Unclear => STORE_RETRY_MS,
+            _ => {
+                line.under_way = None;
+                0
+            }
+        };
+        line.turn.retry(now, wait_ms);
+        match (lane, outcome) {
+            (_, Outcome::Unclear) => {}
+            (Lane::Records, Outcome::Applied(revision)) => {
+                self.part.recorded(revision);
+            }
+            (Lane::Pages, Outcome::Applied(revision)) => {
+                if let Some(leader) = &mut self.leader {
+                    leader.allotment.pages_written(revision);
+                }
+            }
+            (Lane::Ends, Outcome::Applied(_)) => self.ended(now),
+            (Lane::Ends, Outcome::Refuted(failed)) => {
+                // A user cancelled the job meanwhile, or a copy of this write was applied before:
+                // the mirror will tell. The rest is tried again.
+                let ending = std::mem::take(&mut self.lanes.ending);
+                for end in ending {
+                    if let (End::Finish(id), Some(leader)) = (end, &mut self.leader) {
+                        if failed.contains(&open_key(id)) {
+                            leader.allotment.not_finished(id);
+                        }
+                    }
+                }
+            }
+            (lane, Outcome::Refuted(keys)) => {
+                tracing::error!(?lane, ?keys, "a write of pages was refuted");
+            }
+        }
+    }
+
+    /// The ends under way are durable.
+    fn ended(&mut self, now: Time) {
+        for end in std::mem::take(&mut self.lanes.ending) {
+            let Some(leader) = &mut self.leader else {
+                return;
+            };
+            match end {
+                End::Finish(id) => {
+                    tracing::debug!(job = %id, "job done");
+                    self.mirror.remember_final(id, JobState::Done);
+                    leader.allotment.close(id, now);
+                }
+                End::Claim(machine, held) => leader.allotment.claim_written(&machine, held),
+                End::Remove(key) => leader.allotment.removed(&key),
+            }
+        }
+    }
+
+    /// Reads the version of a page that was written at an unknown one.
+    fn refresh_turn(&mut self, now: Time, out: &mut Vec<Action>) {
+        if !self.lanes.refresh.due(now) {
+            return;
+        }
+        let of_leader = self
+            .leader
+            .iter()
+            .flat_map(|l| l.allotment.uncertain_pages());
+        if let Some(key) = self
+            .part
+            .uncertain_records()
+            .into_iter()
+            .chain(of_leader)
+            .next()
+        {
+            self.lanes.refresh.sent(now, 0);
+            let tag = StoreTag::Refresh(self.membership.token(), key.clone());
+            store(out, tag, StoreOp::Get(key));
+        }
+    }
+
+    /// A page's version was read, or not.
+    pub(super) fn refreshed(&mut self, now: Time, key: &str, reply: StoreReply) {
+        let version = match reply {
+            StoreReply::Found(pair) => pair.version,
+            StoreReply::Missing => Revision(0),
+            _ => return self.lanes.refresh.retry(now, STORE_RETRY_MS),
+        };
+        self.lanes.refresh.retry(now, 0);
+        self.part.record_found(key, version);
+        if let Some(leader) = &mut self.leader {
+            leader.allotment.page_found(key, version);
+        }
+    }
+
+    /// Writes a cancellation.
+    pub(super) fn write_withdrawal(&mut self, ask: Ask, txn: Txn, out: &mut Vec<Action>) {
+        self.lanes.user_writes.take(txn.changes.len());
+        store(out, StoreTag::Withdraw(ask), StoreOp::Txn(txn));
+    }
+}
+
+fn add_pages(txn: &mut Txn, pages: Vec<PageWrite>) {
+    for page in pages {
+        txn.conditions.push(page.condition);
+        txn.changes.push(page.change);
+    }
+}
--- a/crates/worksshunt-core/src/fleet.rs
+++ b/crates/worksshunt-core/src/fleet.rs
@@ -6,9 +6,10 @@
 use worksshunt_wire::peer::MachineUp;
 use worksshunt_wire::{Epoch, MachineId};
 
-use crate::allotment::Demand;
+use crate::allotment::{Demand, MachineView};
 use crate::constants::{
     BOOT_EXTRA_S, BOOT_FACTOR, IDLE_RETURN_MS, RENT_MOST, RENT_REFUSED_MS, RETURN_MOST, ROUNDING,
+    UNHEARD_SUPPLY_MS,
 };
 use crate::jobs::Job;
 use crate::placement::Room;
@@ -74,6 +75,8 @@
     stage: Stage,
     /// When it was rented or first seen.
     since: Time,
+    /// Since when the cloud lists it as running.
+    running: Option<Time>,
     /// When a part last described it.
     heard: Option<Time>,
     idle_since: Option<Time>,
@@ -85,6 +88,7 @@
             offer,
             stage,
             since,
+            running: None,
             heard: None,
             idle_since: None,
         }
@@ -166,6 +170,9 @@
                 .machines
                 .entry(machine.id.clone())
                 .or_insert_with(|| Tracked::new(machine.into(), Stage::Booting, since));
+            if machine.state == ListedState::Running {
+                tracked.running.get_or_insert(now);
+            }
             if machine.state == ListedState::Failed && tracked.stage != Stage::Returning {
                 tracing::info!(machine = %machine.id, "machine failed");
                 tracked.heard = None;
@@ -183,8 +190,9 @@
     }
 
     /// Takes in what the parts say of their machines.
-    pub fn heard<'a>(&mut self, now: Time, machines: impl Iterator<Item = &'a MachineUp>) {
-        for up in machines {
+    pub fn heard<'a>(&mut self, now: Time, machines: impl Iterator<Item = &'a MachineView>) {
+        for view in machines {
+            let up = &view.up;
             if up.lost || self.gone.contains_key(&up.id) {
                 continue;
             }
@@ -196,12 +204,16 @@
             if tracked.stage == Stage::Booting {
                 tracked.step(&up.id, Stage::Up);
             }
-            tracked.idle_since = up.idle_ms.map(|idle| now - idle);
+            if up.unreached && tracked.stage == Stage::Up {
+                tracing::info!(machine = %up.id, "machine is heard but not reached: returned");
+                tracked.step(&up.id, Stage::Draining);
+            }
+            tracked.idle_since = view.idle_since;
         }
     }
 
     /// Machines that take no new tasks.
-    pub fn drains(&self) -> Vec<MachineId> {
+    pub fn drains(&self) -> BTreeSet<MachineId> {
         self.machines
             .iter()
             .filter(|(_, t)| matches!(t.stage, Stage::Draining | Stage::Returning))
@@ -210,7 +222,7 @@
     }
 
     /// Machines confirmed gone.
-    pub fn gone(&self) -> Vec<MachineId> {
+    pub fn gone(&self) -> BTreeSet<MachineId> {
         self.gone.keys().cloned().collect()
     }
 
@@ -219,21 +231,25 @@
         &mut self,
         now: Time,
         catalog: &Catalog,
-        rooms: impl Iterator<Item = (&'a MachineUp, &'a Room)>,
+        machines: impl Iterator<Item = &'a MachineView>,
         demand: &[Demand],
     ) -> Vec<CloudRequest> {
         let mut requests = Vec::new();
-        let rooms: Vec<(&MachineUp, Room)> = rooms.map(|(m, room)| (m, *room)).collect();
-        let mut supply = self.supply(catalog, &rooms);
+        let machines: Vec<&MachineView> = machines.collect();
+        let mut supply = self.supply(now, catalog, &machines);
+        let mut there: BTreeMap<Offer, f64> = BTreeMap::new();
+        for (offer, _) in &supply {
+            let cpus = catalog.get(&offer.machine_type).map_or(0.0, |t| t.cpus);
+            *there.entry(offer.clone()).or_default() += cpus;
+        }
         let left = unserved(&mut supply, demand);
-        let supply: Vec<Offer> = supply.into_iter().map(|(offer, _)| offer).collect();
-        if let Some(names) = self.returns(now, catalog, &rooms) {
+        if let Some(names) = self.returns(now, catalog, &machines) {
             self.return_in_flight = true;
             requests.push(CloudRequest::Return(names));
         }
         if !self.rent_in_flight && now >= self.rent_from {
             if self.renting.is_none() {
-                self.renting = self.rental(now, catalog, &supply, &left, demand);
+                self.renting = self.rental(now, catalog, &there, &left, demand);
             }
             if let Some(request) = &self.renting {
                 self.rent_in_flight = true;
@@ -244,15 +260,22 @@
     }
 
     /// Machines that take tasks, and those that boot, with the room on each.
-    fn supply(&self, catalog: &Catalog, rooms: &[(&MachineUp, Room)]) -> Vec<(Offer, Room)> {
-        let up = rooms
+    fn supply(
+        &self,
+        now: Time,
+        catalog: &Catalog,
+        machines: &[&MachineView],
+    ) -> Vec<(Offer, Room)> {
+        let up = machines
             .iter()
-            .filter(|(m, _)| m.usable)
-            .map(|(m, room)| (Offer::from(*m), *room));
+            .filter(|view| view.up.usable)
+            .map(|view| (Offer::from(&view.up), view.room));
         let booting = self
             .machines
             .values()
             .filter(|t| t.stage == Stage::Booting)
+            // One that runs and is not heard of will hardly do any work.
+            .filter(|t| t.running.is_none_or(|at| now.since(at) < UNHEARD_SUPPLY_MS))
             .filter_map(|t| {
                 let room = Room::of_type(catalog.get(&t.offer.machine_type)?);
                 Some((t.offer.clone(), room))
@@ -268,23 +291,26 @@
         &mut self,
         now: Time,
         catalog: &Catalog,
-        supply: &[Offer],
+        there: &BTreeMap<Offer, f64>,
         left: &[Demand],
         demand: &[Demand],
     ) -> Option<RentRequest> {
         let needed: f64 = demand.iter().map(processors_needed).sum();
         let mut wanted: BTreeMap<Offer, f64> = BTreeMap::new();
+        let mut in_zone: BTreeMap<&String, usize> = BTreeMap::new();
+        for tracked in self.machines.values() {
+            *in_zone.entry(&tracked.offer.zone).or_default() += 1;
+        }
         for demand in left {
-            let Some((offer, slots)) = self.best_offer(now, catalog, demand) else {
+            let Some((offer, slots)) = self.best_offer(now, catalog, demand, &in_zone) else {
                 continue;
             };
             let each = catalog.get(&offer.machine_type).map_or(0.0, |t| t.cpus);
             // Machines that are lost, noticed or silent will not do the work.
-            let there: f64 = supply
+            let there: f64 = there
                 .iter()
-                .filter(|offer| allows(&demand.job, demand.zone.as_ref(), offer))
-                .filter_map(|offer| catalog.get(&offer.machine_type))
-                .map(|t| t.cpus)
+                .filter(|(offer, _)| allows(&demand.job, demand.zone.as_ref(), offer))
+                .map(|(_, cpus)| cpus)
                 .sum();
             let ordered: f64 = wanted.values().sum();
             let missing = ((needed - there) / each.max(1.0) - ordered).max(0.0);
@@ -314,7 +340,13 @@
 
     /// The cheapest kind of machine for the task that the cloud has not just refused, and how many
     /// of the tasks it holds. Among equals, the zone with fewer machines.
-    fn best_offer(&self, now: Time, catalog: &Catalog, demand: &Demand) -> Option<(Offer, f64)> {
+    fn best_offer(
+        &self,
+        now: Time,
+        catalog: &Catalog,
+        demand: &Demand,
+        in_zone: &BTreeMap<&String, usize>,
+    ) -> Option<(Offer, f64)> {
         let need = Room::of_job(&demand.job);
         let mut best: Option<(f64, usize, Offer, f64)> = None;
         for t in &catalog.types {
@@ -341,11 +373,7 @@
                     if can_wait || refused || !allows(&demand.job, demand.zone.as_ref(), &offer) {
                         continue;
                     }
-                    let in_zone = self
-                        .machines
-                        .values()
-                        .filter(|m| m.offer.zone == *zone)
-                        .count();
+                    let in_zone = in_zone.get(zone).copied().unwrap_or(0);
                     let cost = price / slots;
                     let better = best
                         .as_ref()
@@ -364,12 +392,12 @@
         &mut self,
         now: Time,
         catalog: &Catalog,
-        rooms: &[(&MachineUp, Room)],
+        machines: &[&MachineView],
     ) -> Option<MachineNames> {
-        let empty: BTreeSet<&MachineId> = rooms
+        let empty: BTreeSet<&MachineId> = machines
             .iter()
-            .filter(|(m, _)| m.idle_ms.is_some() && !m.usable)
-            .map(|(m, _)| &m.id)
+            .filter(|view| view.idle_since.is_some() && !view.up.usable)
+            .map(|view| &view.up.id)
             .collect();
         let mut names = Vec::new();
         for (id, tracked) in &mut self.machines {
@@ -471,18 +499,19 @@
 }
 
 /// Demand that the supply will not serve at once. Takes what it does serve out of the supply.
-fn unserved(supply: &mut [(Offer, Room)], demand: &[Demand]) -> Vec<Demand> {
+fn unserved(supply: &mut Vec<(Offer, Room)>, demand: &[Demand]) -> Vec<Demand> {
     let mut left = Vec::new();
     for wanted in demand {
         let need = Room::of_job(&wanted.job);
         let mut tasks = wanted.tasks;
-        for (offer, room) in supply.iter_mut() {
+        supply.retain_mut(|(offer, room)| {
             let allowed = allows(&wanted.job, wanted.zone.as_ref(), offer);
             while tasks > 0 && allowed && room.holds(&need) {
                 room.take(&need);
                 tasks -= 1;
             }
-        }
+            room.cpus > ROUNDING
+        });
         if tasks > 0 {
             left.push(Demand {
                 tasks,
@@ -566,8 +595,7 @@
     }
 
     fn plan(fleet: &mut Fleet, now: u64, demand: &[Demand]) -> Vec<CloudRequest> {
-        let rooms = std::iter::empty();
-        fleet.plan(Time(now), &catalog(), rooms, demand)
+        fleet.plan(Time(now), &catalog(), std::iter::empty(), demand)
     }
 
     // Guards against a new leader that returns machines for being old and not heard of yet.
--- a/crates/worksshunt-core/src/jobs.rs
+++ b/crates/worksshunt-core/src/jobs.rs
@@ -1,22 +1,21 @@
 //! Jobs: what is accepted, what every controller knows of the open ones, and which tasks are done.
 //!
 //! Keys in the state service: `j/ID` an open job, `f/ID` the final state of one that is over,
-//! `d/ID/CHUNK` the completed tasks of an open one.
+//! `d/N` a page of completed tasks of open ones.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
-use base64::engine::general_purpose::STANDARD_NO_PAD;
-use base64::Engine;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use worksshunt_wire::cloud::Catalog;
 use worksshunt_wire::settings::Team;
 use worksshunt_wire::state::{Changes, Listing, WatchEvent};
 use worksshunt_wire::user::{JobSpec, JobState};
-use worksshunt_wire::{JobId, Revision};
+use worksshunt_wire::{JobId, Revision, TaskId};
 
 use crate::constants::{DONE_CHUNK, FINALS_KEPT, MAX_TASKS};
+use crate::pages::Entry;
 use crate::placement::Room;
 use crate::quota::Quota;
 
@@ -24,7 +23,7 @@
 pub const OPEN: &str = "j/";
 /// Prefix of final states.
 pub const FINAL: &str = "f/";
-/// Prefix of completion records.
+/// Prefix of the pages of completed tasks.
 pub const DONE: &str = "d/";
 
 /// Key of an open job.
@@ -37,11 +36,6 @@
     format!("{FINAL}{id}")
 }
 
-/// Key of a completion record.
-pub fn done_key(id: JobId, chunk: u32) -> String {
-    format!("{DONE}{id}/{chunk}")
-}
-
 /// Reads a key of the form `PREFIX ID`.
 fn id_of(key: &str, prefix: &str) -> Option<JobId> {
     key.strip_prefix(prefix)?.parse().ok()
@@ -337,14 +331,6 @@
     zones: BTreeMap<String, u32>,
 }
 
-/// A completion record as stored: bits of one chunk, base64, and with chunk 0 the zone counts.
-#[derive(Debug, Serialize, Deserialize)]
-struct DoneRecord {
-    bits: String,
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    zones: BTreeMap<String, u32>,
-}
-
 impl DoneSet {
     /// No task done yet.
     pub fn new(tasks: u32) -> DoneSet {
@@ -374,9 +360,9 @@
         }
     }
 
-    /// Counts the zone a task was done in.
-    pub fn count_zone(&mut self, zone: &str) {
-        *self.zones.entry(zone.to_owned()).or_default() += 1;
+    /// Counts tasks done in a zone.
+    pub fn count_zone(&mut self, zone: &str, tasks: u32) {
+        *self.zones.entry(zone.to_owned()).or_default() += tasks;
     }
 
     /// Tasks done per zone, where counted.
@@ -388,58 +374,93 @@
     pub fn count(&self) -> u32 {
         self.count
     }
+}
 
-    /// The chunk a task's bit is stored in.
-    pub fn chunk_of(index: u32) -> u32 {
-        index / DONE_CHUNK
-    }
+/// Completed tasks of one job as they are recorded, so many of its tasks to an entry.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Completions {
+    /// The tasks.
+    pub tasks: BTreeSet<u32>,
+    /// How many of them ran in which zone, where that matters.
+    pub zones: BTreeMap<String, u32>,
+}
+
+/// What a job's completions are recorded under: the job, and which `DONE_CHUNK` of its tasks.
+pub type CompletionsKey = (JobId, u32);
 
-    /// How many chunks it is stored in.
-    pub fn chunks(&self) -> u32 {
-        (self.bits.len() as u32).div_ceil(DONE_CHUNK / 8).max(1)
+/// The entry that a task's completion belongs to.
+pub fn completions_key(task: TaskId) -> CompletionsKey {
+    (task.job, task.index / DONE_CHUNK)
+}
+
+/// Version of the completions' form.
+const FORM: u32 = 2;
+
+#[derive(Serialize, Deserialize)]
+struct StoredCompletions {
+    v: u32,
+    done: Vec<StoredEntry>,
+}
+
+/// Job, first and last task of every run of completed ones, zones.
+type StoredEntry = (JobId, Vec<(u32, u32)>, BTreeMap<String, u32>);
+
+impl Completions {
+    fn runs(&self) -> Vec<(u32, u32)> {
+        let mut runs: Vec<(u32, u32)> = Vec::new();
+        for task in &self.tasks {
+            match runs.last_mut() {
+                Some((_, last)) if *last + 1 == *task => *last = *task,
+                _ => runs.push((*task, *task)),
+            }
+        }
+        runs
     }
+}
+
+impl Entry for Completions {
+    type Key = CompletionsKey;
 
-    fn range(&self, chunk: u32) -> std::ops::Range<usize> {
-        let bytes = (DONE_CHUNK / 8) as usize;
-        let start = (chunk as usize * bytes).min(self.bits.len());
-        start..(start + bytes).min(self.bits.len())
+    fn size(&self, _: &CompletionsKey) -> usize {
+        let zones: usize = self.zones.keys().map(|zone| zone.len() + 12).sum();
+        // A run is two numbers of at most five digits in brackets.
+        40 + 14 * self.runs().len() + zones
     }
 
-    /// A chunk as stored.
-    pub fn record(&self, chunk: u32) -> Value {
-        let bits = STANDARD_NO_PAD.encode(&self.bits[self.range(chunk)]);
-        let mut record = serde_json::json!({ "bits": bits });
-        if chunk == 0 && !self.zones.is_empty() {
-            record["zones"] = serde_json::json!(self.zones);
+    fn join(&mut self, later: Completions) {
+        self.tasks.extend(later.tasks);
+        for (zone, tasks) in later.zones {
+            *self.zones.entry(zone).or_default() += tasks;
         }
-        record
     }
 
-    /// Takes over a stored chunk.
-    pub fn load(&mut self, chunk: u32, value: &Value) -> bool {
-        let Ok(record) = serde_json::from_value::<DoneRecord>(value.clone()) else {
-            return false;
-        };
-        let Ok(bits) = STANDARD_NO_PAD.decode(record.bits) else {
-            return false;
-        };
-        let range = self.range(chunk);
-        if bits.len() != range.len() {
-            return false;
-        }
-        self.bits[range].copy_from_slice(&bits);
-        self.count = self.bits.iter().map(|byte| byte.count_ones()).sum();
-        if chunk == 0 {
-            self.zones = record.zones;
-        }
-        true
+    fn value(entries: &BTreeMap<CompletionsKey, Completions>) -> Value {
+        let done = entries
+            .iter()
+            .map(|((id, _), entry)| (*id, entry.runs(), entry.zones.clone()))
+            .collect();
+        serde_json::json!(StoredCompletions { v: FORM, done })
     }
 }
 
-/// Splits a completion record's key into job and chunk.
-pub fn parse_done_key(key: &str) -> Option<(JobId, u32)> {
-    let (id, chunk) = key.strip_prefix(DONE)?.split_once('/')?;
-    Some((id.parse().ok()?, chunk.parse().ok()?))
+/// Reads a page of completions; none if another version of the program wrote it.
+pub fn read_completions(value: &Value) -> Option<BTreeMap<CompletionsKey, Completions>> {
+    let stored = StoredCompletions::deserialize(value).ok()?;
+    let mut entries: BTreeMap<CompletionsKey, Completions> = BTreeMap::new();
+    for (job, runs, zones) in stored.done {
+        let last = runs.last().map_or(0, |(_, last)| *last);
+        if stored.v != FORM || last >= MAX_TASKS {
+            return None;
+        }
+        let tasks: BTreeSet<u32> = runs.iter().flat_map(|(a, b)| *a..=*b).collect();
+        let index = tasks.first().copied().unwrap_or(0);
+        let key = completions_key(TaskId { job, index });
+        entries
+            .entry(key)
+            .or_default()
+            .join(Completions { tasks, zones });
+    }
+    Some(entries)
 }
 
 #[cfg(test)]
@@ -447,31 +468,41 @@
     use super::*;
 
     #[test]
-    fn completed_tasks_survive_the_store_in_chunks() {
-        let mut done = DoneSet::new(MAX_TASKS);
-        let indexes = [0, 7, DONE_CHUNK - 1, DONE_CHUNK, MAX_TASKS - 1];
+    fn completed_tasks_survive_the_store() {
+        let job = JobId(7);
+        let indexes = [0, 1, 2, 7, DONE_CHUNK - 1, DONE_CHUNK, MAX_TASKS - 1];
+        let mut entries: BTreeMap<CompletionsKey, Completions> = BTreeMap::new();
         for index in indexes {
-            assert!(done.insert(index));
-            assert!(!done.insert(index), "only once");
+            let task = TaskId { job, index };
+            let one = Completions {
+                tasks: BTreeSet::from([index]),
+                zones: BTreeMap::from([("a".to_owned(), 1)]),
+            };
+            entries.entry(completions_key(task)).or_default().join(one);
         }
-        assert!(!done.insert(MAX_TASKS), "no such task");
-        done.count_zone("a");
-        let mut read = DoneSet::new(MAX_TASKS);
-        for chunk in 0..done.chunks() {
-            let record = done.record(chunk);
-            assert!(record.to_string().len() < 4_096, "fits any value limit");
-            assert!(read.load(chunk, &record));
-        }
-        assert_eq!(read.count(), 5);
-        assert!(indexes.iter().all(|index| read.contains(*index)));
-        assert_eq!(read.zones(), done.zones());
+        let value = Completions::value(&entries);
+        assert_eq!(read_completions(&value), Some(entries.clone()));
+        let size: usize = entries.iter().map(|(key, entry)| entry.size(key)).sum();
+        assert!(
+            value.to_string().len() <= size + 32,
+            "no larger than reckoned"
+        );
+        let every_other = Completions {
+            tasks: (0..DONE_CHUNK).step_by(2).collect(),
+            zones: BTreeMap::new(),
+        };
         assert!(
-            !read.load(0, &serde_json::json!({ "bits": "AAAA" })),
-            "wrong length"
+            every_other.size(&(job, 0)) < 7_500,
+            "the worst entry fits a page"
+        );
+        assert_eq!(
+            read_completions(&serde_json::json!({ "bits": "AAAA" })),
+            None
         );
+        let later = serde_json::json!({ "v": 3, "done": [["j-000007", [[0, 1]], {}]] });
+        assert_eq!(read_completions(&later), None, "another version's");
     }
 
-    // Guards against an overtaken answer of the watch that brings back a job that is over.
     #[test]
     fn the_mirror_takes_overlapping_answers_in_any_order() {
         let spec = serde_json::json!({
--- /dev/null
+++ b/crates/worksshunt-core/src/machines/machine.rs
@@ -0,0 +1,281 @@
+//! One machine and the attempts on it, as its owner sees them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use worksshunt_wire::peer::Phase;
+use worksshunt_wire::{Attempt, JobId, Session, TaskId};
+
+use crate::constants::{FAULTY_JOBS, UNHEEDED_ANSWERS, UNREACHED_RETURN_MS};
+use crate::jobs::Job;
+use crate::placement::Room;
+use crate::time::Time;
+
+/// Where an attempt on a machine stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum HeldState {
+    /// Chosen for the machine; the record is being written.
+    Recording,
+    /// On the durable record; the launch can leave.
+    Recorded,
+    /// The launch left with the answer to a report. The worker's next report shows the outcome.
+    Launched,
+    /// The launch left straight for the worker and is not answered, or never will be: it can take
+    /// effect until the worker's session or the token changes.
+    Ordered,
+    /// On the record of a former owner; nothing heard of it yet.
+    Inherited,
+    /// Waits for its image.
+    Fetching,
+    /// Runs, as far as known since then.
+    Running(Time),
+    /// Saves its progress.
+    Saving,
+    /// Reported as completed.
+    Completed,
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct Held {
+    pub task: TaskId,
+    /// Unknown for an attempt whose job was over before this epoch began.
+    pub job: Option<Rc<Job>>,
+    pub state: HeldState,
+    pub session: Session,
+    pub placed_at: Time,
+    /// Size band, if the placement was over the machine's capacity.
+    pub over_capacity: Option<usize>,
+    pub inherited: bool,
+    /// Grace in seconds, once the attempt is to be stopped.
+    pub stop: Option<f64>,
+    /// The completion is in the store.
+    pub durable: bool,
+    /// A direct launch of it was not answered and may yet arrive.
+    pub ordered: bool,
+    /// The stop was sent straight to the worker.
+    pub stop_sent: bool,
+}
+
+impl Held {
+    /// An attempt in its first state.
+    pub fn new(
+        task: TaskId,
+        job: Option<Rc<Job>>,
+        state: HeldState,
+        session: Session,
+        now: Time,
+    ) -> Held {
+        Held {
+            task,
+            job,
+            state,
+            session,
+            placed_at: now,
+            over_capacity: None,
+            inherited: state == HeldState::Inherited,
+            stop: None,
+            durable: false,
+            ordered: false,
+            stop_sent: false,
+        }
+    }
+
+    /// The one place where an attempt's state changes.
+    pub fn step(&mut self, next: HeldState) {
+        self.state = match (self.state, next) {
+            // A completed task stays so, and a running one keeps its first sighting.
+            (HeldState::Completed, _) => HeldState::Completed,
+            (HeldState::Running(since), HeldState::Running(_)) => HeldState::Running(since),
+            (_, next) => next,
+        };
+    }
+
+    /// Whether its launch cannot have left this process or a former owner.
+    pub fn never_launched(&self) -> bool {
+        matches!(self.state, HeldState::Recording | HeldState::Recorded)
+    }
+
+    /// How the leader is told of it.
+    pub fn phase(&self) -> Phase {
+        match self.state {
+            HeldState::Running(_) => Phase::Running,
+            HeldState::Completed => Phase::Completed,
+            _ => Phase::Placed,
+        }
+    }
+}
+
+/// What a worker said of its machine.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Info {
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub room: Room,
+    pub addr: String,
+}
+
+/// Whether answers and orders reach the worker. Hearing it proves nothing: reports may arrive while
+/// nothing gets back, and a report may be a late copy of one long past.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Reach {
+    /// Its reports do not show this epoch's token yet, so none of them need be of this epoch.
+    Unproven { since: Time },
+    /// It has acted on something this owner said.
+    Proven,
+    /// Something speaks against it; orders that change nothing are sent until one is answered.
+    Doubtful { since: Time },
+}
+
+/// What the leader is told of a machine, apart from what never changes.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub(super) struct Summary {
+    pub known: bool,
+    pub usable: bool,
+    pub empty: bool,
+    pub noticed: bool,
+    pub unreached: bool,
+    pub lost: bool,
+    pub free: Room,
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct Machine {
+    pub info: Option<Info>,
+    /// Newest report seen.
+    pub newest: (Session, u64),
+    pub heard: Time,
+    /// Latest moment at which the worker's lease can have been renewed.
+    pub renewed: Time,
+    pub lost: bool,
+    pub reach: Reach,
+    /// Answers given since its reports last showed this epoch's token.
+    pub unheeded: u32,
+    /// Direct orders are on their way.
+    pub ordering: bool,
+    /// No direct orders before: the last ones were not answered.
+    pub order_from: Time,
+    /// Ended attempts the worker must remember, because an unanswered direct launch of them would
+    /// start them a second time; with the session in which that can happen.
+    pub kept: BTreeMap<Attempt, Session>,
+    /// When the cloud takes it, once it gave notice.
+    pub notice: Option<Time>,
+    pub draining: bool,
+    pub claimed: bool,
+    /// The worker lists tasks that are on no record.
+    pub foreign: bool,
+    /// Jobs whose tasks failed on it since a task last completed there.
+    pub failing: BTreeSet<JobId>,
+    pub held: BTreeMap<Attempt, Held>,
+    /// Since when nothing is on it.
+    pub empty_since: Option<Time>,
+    /// As it was when last looked at.
+    pub summary: Summary,
+}
+
+impl Machine {
+    pub fn new(now: Time, renewed: Time) -> Machine {
+        Machine {
+            info: None,
+            newest: (Session(0), 0),
+            heard: Time::default(),
+            renewed,
+            lost: false,
+            reach: Reach::Unproven { since: now },
+            unheeded: 0,
+            ordering: false,
+            order_from: Time::default(),
+            kept: BTreeMap::new(),
+            notice: None,
+            draining: false,
+            claimed: false,
+            foreign: false,
+            failing: BTreeSet::new(),
+            held: BTreeMap::new(),
+            empty_since: None,
+            summary: Summary::default(),
+        }
+    }
+
+    /// The one place where the machine's reach changes.
+    pub fn reach(&mut self, next: Reach) {
+        self.reach = match (self.reach, next) {
+            (Reach::Doubtful { since }, Reach::Doubtful { .. }) => Reach::Doubtful { since },
+            (Reach::Unproven { since }, Reach::Doubtful { .. }) => Reach::Doubtful { since },
+            (_, next) => next,
+        };
+        if self.reach == Reach::Proven {
+            self.unheeded = 0;
+        }
+    }
+
+    /// Reckons with what the token in a report shows; `current` if it is this epoch's.
+    pub fn token_shown(&mut self, current: bool, now: Time) {
+        if current {
+            self.unheeded = 0;
+            if matches!(self.reach, Reach::Unproven { .. }) {
+                self.reach(Reach::Proven);
+            }
+        } else if self.unheeded >= UNHEEDED_ANSWERS && self.reach == Reach::Proven {
+            self.reach(Reach::Doubtful { since: now });
+        }
+    }
+
+    /// What is free now.
+    pub fn free(&self) -> Room {
+        let Some(info) = &self.info else {
+            return Room::default();
+        };
+        let mut free = info.room;
+        for held in self.held.values() {
+            match (&held.job, held.state) {
+                (_, HeldState::Completed) => {}
+                (Some(job), _) => free.take(&Room::of_job(job)),
+                // Of unknown size: nothing may join it.
+                (None, _) => return Room::default(),
+            }
+        }
+        free
+    }
+
+    /// Share of its resources that is taken, given what is free.
+    pub fn fullness(&self, free: &Room) -> f64 {
+        let Some(info) = &self.info else {
+            return 1.0;
+        };
+        let share = |free: f64, all: f64| if all > 0.0 { 1.0 - free / all } else { 0.0 };
+        share(free.cpus, info.room.cpus)
+            .max(share(free.gpus, info.room.gpus))
+            .max(share(free.memory_gb, info.room.memory_gb))
+    }
+
+    pub fn usable(&self, now: Time, silent_ms: u64) -> bool {
+        self.info.is_some()
+            && !self.lost
+            && !self.draining
+            && !self.foreign
+            && self.reach == Reach::Proven
+            && self.failing.len() < FAULTY_JOBS
+            && self.notice.is_none()
+            && now.since(self.heard) <= silent_ms
+    }
+
+    pub fn summarize(&self, now: Time, silent_ms: u64) -> Summary {
+        let since = match self.reach {
+            Reach::Proven => None,
+            Reach::Unproven { since } | Reach::Doubtful { since } => Some(since),
+        };
+        let unreached = since.is_some_and(|since| now.since(since) >= UNREACHED_RETURN_MS);
+        let proven_once = !matches!(self.reach, Reach::Unproven { .. });
+        Summary {
+            // A machine is not spoken of before it is known to be there now.
+            known: self.info.is_some() && (proven_once || unreached),
+            usable: self.usable(now, silent_ms),
+            empty: self.held.is_empty(),
+            noticed: self.notice.is_some(),
+            unreached,
+            lost: self.lost,
+            free: self.free(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/worksshunt-core/src/machines/reports.rs
@@ -0,0 +1,479 @@
+//! What workers say, and what they are told.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use worksshunt_wire::cloud::Catalog;
+use worksshunt_wire::peer::End;
+use worksshunt_wire::worker::{Command, ExitReason, Orders, Report, ReportedTask, TaskState};
+use worksshunt_wire::{Attempt, Epoch, MachineId, Session};
+
+use crate::constants::{ORDERS_PAUSE_MS, PROBE_PAUSE_MS, SIGHTINGS_KEPT};
+use crate::placement::{Outcome, Room, Speed};
+use crate::time::Time;
+
+use super::machine::{Held, HeldState, Info, Machine, Reach};
+use super::Part;
+
+/// The newest report seen of machines that are not in the part (any more), so that a late copy is
+/// known for one whenever it comes.
+#[derive(Debug, Default)]
+pub(super) struct Sightings {
+    newest: BTreeMap<MachineId, (Session, u64)>,
+    order: VecDeque<MachineId>,
+}
+
+impl Sightings {
+    pub fn note(&mut self, id: &MachineId, newest: (Session, u64)) {
+        match self.newest.get_mut(id) {
+            Some(before) => *before = newest.max(*before),
+            None => {
+                self.newest.insert(id.clone(), newest);
+                self.order.push_back(id.clone());
+                if self.order.len() > SIGHTINGS_KEPT {
+                    if let Some(oldest) = self.order.pop_front() {
+                        self.newest.remove(&oldest);
+                    }
+                }
+            }
+        }
+    }
+
+    pub fn newest(&self, id: &MachineId) -> (Session, u64) {
+        self.newest.get(id).copied().unwrap_or((Session(0), 0))
+    }
+}
+
+/// What became of direct orders.
+#[derive(Debug, Clone, PartialEq)]
+pub enum OrdersReply {
+    /// The worker answered, with its report after them.
+    Answered(Report),
+    /// They never left.
+    NotSent,
+    /// No answer: they may be carried out at any time.
+    Unknown,
+}
+
+/// Direct orders to a worker, to be sent by the service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DirectOrders {
+    /// The machine.
+    pub machine: MachineId,
+    /// Its worker's address.
+    pub addr: String,
+    /// The orders.
+    pub orders: Orders,
+}
+
+impl Part {
+    /// Takes in a worker's report and returns the commands for its answer. An old report, or a copy
+    /// of one, changes nothing and gets none.
+    pub fn report(
+        &mut self,
+        now: Time,
+        report: &Report,
+        epoch: Epoch,
+        catalog: &Catalog,
+    ) -> Vec<Command> {
+        let id = &report.machine;
+        let order = (report.session, report.seq);
+        let newest = match self.machines.get(id) {
+            Some(machine) => machine.newest,
+            None => self.sightings.newest(id),
+        };
+        if order <= newest {
+            return Vec::new();
+        }
+        if !self.machines.contains_key(id) {
+            let mut machine = Machine::new(now, now);
+            machine.newest = newest;
+            if newest != (Session(0), 0) {
+                // It was here before and was given up: what comes now may be a last late word.
+                machine.reach(Reach::Doubtful { since: now });
+            }
+            self.machines.insert(id.clone(), machine);
+            self.outgoing.forgotten.remove(id);
+        }
+        if let Some(machine) = self.machines.get_mut(id) {
+            machine.renewed = machine.renewed.max(now);
+        }
+        self.take_in(now, report, epoch, catalog, false);
+        self.commands(report, now)
+    }
+
+    /// Takes in what a worker says, with a report or (`direct`) in answer to direct orders, which
+    /// renews no lease but proves that the worker is reached. What is older than what is known
+    /// changes nothing.
+    fn take_in(
+        &mut self,
+        now: Time,
+        report: &Report,
+        epoch: Epoch,
+        catalog: &Catalog,
+        direct: bool,
+    ) {
+        let id = &report.machine;
+        let silent_ms = self.silent_ms;
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let order = (report.session, report.seq);
+        if order <= machine.newest {
+            return;
+        }
+        let current = report.token >= epoch;
+        if !direct {
+            // A worker whose session is over was not reached by our answers; one that was given up
+            // or silent for long may speak through a late copy only.
+            let over = machine.newest.0 > Session(0) && report.session > machine.newest.0;
+            let silent = machine.info.is_some() && now.since(machine.heard) > silent_ms;
+            if over || silent || machine.lost {
+                machine.reach(Reach::Doubtful { since: now });
+            }
+            machine.token_shown(current, now);
+            machine.unheeded += 1;
+        }
+        machine.kept.retain(|_, session| *session >= report.session);
+        machine.newest = order;
+        machine.heard = now;
+        machine.lost = false;
+        if machine.info.is_none() {
+            machine.info = catalog.get(&report.machine_type).map(|t| Info {
+                machine_type: report.machine_type.clone(),
+                zone: report.zone.clone(),
+                spot: report.spot,
+                room: Room::of_type(t),
+                addr: report.addr.clone(),
+            });
+        }
+        match report.notice_s {
+            Some(left) if machine.notice.is_none() => {
+                tracing::info!(machine = %id, left_s = left, "the cloud will take this machine");
+                machine.notice = Some(now + (left.max(0.0) * 1_000.0) as u64);
+            }
+            _ => {}
+        }
+        self.gone_by_session(id, report.session, now);
+        self.listed(report, now);
+        // Whatever a former owner sent is refused once the worker has seen this epoch's token, so
+        // from then on a task that is not listed is not there.
+        self.not_listed(report, current, direct, now);
+        let doubtful = |m: &Machine| matches!(m.reach, Reach::Doubtful { .. });
+        if self.machines.get(id).is_some_and(doubtful) {
+            self.give_up_unlaunched(id, now);
+            self.to_order.insert(id.clone());
+        }
+        self.look_at(id, now);
+    }
+
+    /// A worker kills and forgets everything when its session ends.
+    fn gone_by_session(&mut self, id: &MachineId, session: Session, now: Time) {
+        let Some(machine) = self.machines.get(id) else {
+            return;
+        };
+        let gone: Vec<Attempt> = machine
+            .held
+            .iter()
+            .filter(|(_, held)| held.session < session && held.state != HeldState::Completed)
+            .map(|(attempt, _)| *attempt)
+            .collect();
+        for attempt in gone {
+            self.end(id, attempt, End::Lost, now);
+        }
+    }
+
+    fn listed(&mut self, report: &Report, now: Time) {
+        let id = &report.machine;
+        let mut ended = Vec::new();
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        machine.foreign = false;
+        for listed in &report.tasks {
+            let Some(held) = machine.held.get_mut(&listed.attempt) else {
+                machine.foreign |= listed.state != TaskState::Ended;
+                continue;
+            };
+            let before = held.phase();
+            match (listed.state, listed.reason) {
+                (TaskState::Fetching, _) => held.step(HeldState::Fetching),
+                (TaskState::Running, _) => held.step(HeldState::Running(now)),
+                (TaskState::Saving, _) => held.step(HeldState::Saving),
+                (TaskState::Ended, Some(ExitReason::Done)) => {
+                    if held.state != HeldState::Completed {
+                        machine.failing.clear();
+                        held.step(HeldState::Completed);
+                        if let (Some(job), false) = (&held.job, held.inherited) {
+                            let held_s = now.since(held.placed_at) as f64 / 1_000.0;
+                            let estimate_s = job.spec.estimate_s;
+                            tracing::debug!(task = %held.task, machine = %id, held_s, estimate_s, "completed");
+                            self.speeds
+                                .entry(id.clone())
+                                .or_insert(Speed::UNMEASURED)
+                                .learn(estimate_s, held_s, self.parameters.start_speed);
+                        }
+                        if let Some(band) = held.over_capacity.take() {
+                            self.over_capacity.ended(band, Outcome::Completed);
+                        }
+                    }
+                }
+                (TaskState::Ended, Some(ExitReason::Error)) => {
+                    ended.push((listed.attempt, End::Error));
+                }
+                (TaskState::Ended, _) => ended.push((listed.attempt, End::Stopped)),
+            }
+            if held.phase() != before {
+                self.outgoing.attempts.insert(listed.attempt);
+            }
+            if held.stop.is_some() && !held.stop_sent {
+                self.to_order.insert(id.clone());
+            }
+        }
+        for (attempt, how) in ended {
+            self.end(id, attempt, how, now);
+        }
+    }
+
+    fn not_listed(&mut self, report: &Report, definitive: bool, direct: bool, now: Time) {
+        let id = &report.machine;
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let listed: BTreeSet<Attempt> = report.tasks.iter().map(|t| t.attempt).collect();
+        let mut gone = Vec::new();
+        for (attempt, held) in &mut machine.held {
+            if listed.contains(attempt) {
+                continue;
+            }
+            match held.state {
+                HeldState::Recording | HeldState::Recorded => {}
+                // The answer that carried the launch was dropped, or this report would list it.
+                HeldState::Launched if direct => {}
+                HeldState::Launched if held.stop.is_none() => {
+                    held.step(HeldState::Recorded);
+                    self.to_order.insert(id.clone());
+                }
+                // It can still arrive, so its absence means nothing.
+                HeldState::Ordered => {}
+                HeldState::Completed if held.durable => gone.push((*attempt, End::Settled)),
+                HeldState::Completed => {}
+                _ if definitive => gone.push((*attempt, End::Lost)),
+                _ => {}
+            }
+        }
+        for (attempt, how) in gone {
+            match how {
+                End::Settled => {
+                    self.drop_held(id, attempt, how, now);
+                }
+                how => self.end(id, attempt, how, now),
+            }
+        }
+    }
+
+    fn commands(&mut self, report: &Report, now: Time) -> Vec<Command> {
+        let Some(machine) = self.machines.get_mut(&report.machine) else {
+            return Vec::new();
+        };
+        let mut commands = Vec::new();
+        for ReportedTask {
+            task,
+            attempt,
+            state,
+            ..
+        } in &report.tasks
+        {
+            let (task, attempt) = (*task, *attempt);
+            let held = machine.held.get(&attempt);
+            if *state == TaskState::Ended {
+                // A completion is durable before the worker forgets it, and no launch of a forgotten
+                // attempt may still be on its way.
+                let reap = match held {
+                    Some(held) => held.durable && !held.ordered,
+                    None => !machine.kept.contains_key(&attempt),
+                };
+                if reap {
+                    commands.push(Command::Reap { task, attempt });
+                }
+                continue;
+            }
+            let grace_s = match held {
+                None => Some(0.0),
+                Some(held) => held.stop,
+            };
+            match (grace_s, state) {
+                (Some(grace_s), TaskState::Saving) if grace_s > 0.0 => {}
+                (Some(grace_s), _) => commands.push(Command::Halt {
+                    task,
+                    attempt,
+                    grace_s,
+                }),
+                (None, _) => {}
+            }
+        }
+        let ordering = machine.ordering;
+        let listed: BTreeSet<Attempt> = report.tasks.iter().map(|t| t.attempt).collect();
+        let notice = machine.notice.is_some();
+        for (attempt, held) in &mut machine.held {
+            if held.session != report.session {
+                continue;
+            }
+            let (task, attempt) = (held.task, *attempt);
+            let launch = Command::Launch { task, attempt };
+            match held.state {
+                HeldState::Recorded if held.stop.is_none() && !notice => {
+                    held.step(HeldState::Launched);
+                    held.placed_at = now;
+                    commands.push(launch);
+                }
+                // The direct launch was not answered: launched this way as well, which has no
+                // effect if it did arrive. One that is no longer wanted is stopped at once; the
+                // worker then knows it as ended, and the late copy has no effect either.
+                HeldState::Ordered if !ordering && !listed.contains(&attempt) => {
+                    commands.push(launch);
+                    if held.stop.is_some() {
+                        let grace_s = 0.0;
+                        commands.push(Command::Halt {
+                            task,
+                            attempt,
+                            grace_s,
+                        });
+                    }
+                }
+                _ => {}
+            }
+        }
+        commands
+    }
+
+    /// Launches, stops and probes that can go straight to workers now. Only with authority.
+    pub fn direct_orders(&mut self, now: Time, token: Epoch) -> Vec<DirectOrders> {
+        let mut all = Vec::new();
+        let waiting = std::mem::take(&mut self.to_order);
+        for id in waiting {
+            let Some(machine) = self.machines.get_mut(&id) else {
+                continue;
+            };
+            let Some(info) = &machine.info else { continue };
+            if machine.lost || now.since(machine.heard) > self.silent_ms {
+                // The next report of it puts it back here.
+                continue;
+            }
+            if machine.ordering || now < machine.order_from {
+                self.to_order.insert(id);
+                continue;
+            }
+            let session = machine.newest.0;
+            let probe = matches!(machine.reach, Reach::Doubtful { .. });
+            let notice = machine.notice.is_some();
+            let commands: Vec<Command> = machine
+                .held
+                .iter_mut()
+                .filter_map(|(attempt, held)| order(*attempt, held, session, notice, now))
+                .collect();
+            if commands.is_empty() && !probe {
+                continue;
+            }
+            machine.ordering = true;
+            if probe {
+                machine.order_from = now + PROBE_PAUSE_MS;
+            }
+            all.push(DirectOrders {
+                machine: id.clone(),
+                addr: info.addr.clone(),
+                orders: Orders {
+                    token,
+                    session,
+                    commands,
+                },
+            });
+        }
+        all
+    }
+
+    /// Direct orders were answered, or not.
+    pub fn ordered(
+        &mut self,
+        now: Time,
+        sent: &DirectOrders,
+        reply: &OrdersReply,
+        epoch: Epoch,
+        catalog: &Catalog,
+    ) {
+        let id = &sent.machine;
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        machine.ordering = false;
+        self.to_order.insert(id.clone());
+        // Whatever was answered, or never left, cannot take effect later.
+        let after = match reply {
+            OrdersReply::Answered(report) => {
+                if report.session >= machine.newest.0 {
+                    machine.reach(Reach::Proven);
+                }
+                machine.order_from = now;
+                self.take_in(now, report, epoch, catalog, true);
+                HeldState::Launched
+            }
+            OrdersReply::NotSent => {
+                machine.order_from = now + ORDERS_PAUSE_MS;
+                HeldState::Recorded
+            }
+            OrdersReply::Unknown => {
+                machine.reach(Reach::Doubtful { since: now });
+                machine.order_from = now + PROBE_PAUSE_MS;
+                self.give_up_unlaunched(id, now);
+                self.look_at(id, now);
+                return;
+            }
+        };
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        for command in &sent.orders.commands {
+            let Command::Launch { attempt, .. } = command else {
+                continue;
+            };
+            machine.kept.remove(attempt);
+            if let Some(held) = machine.held.get_mut(attempt) {
+                held.ordered = false;
+                if held.state == HeldState::Ordered {
+                    held.step(after);
+                }
+            }
+        }
+    }
+}
+
+/// The order that an attempt calls for, if any.
+fn order(
+    attempt: Attempt,
+    held: &mut Held,
+    session: Session,
+    notice: bool,
+    now: Time,
+) -> Option<Command> {
+    let task = held.task;
+    let launch = held.state == HeldState::Recorded
+        && held.stop.is_none()
+        && !notice
+        && held.session == session;
+    if launch {
+        held.step(HeldState::Ordered);
+        held.ordered = true;
+        held.placed_at = now;
+        return Some(Command::Launch { task, attempt });
+    }
+    match (held.stop, held.state) {
+        (Some(grace_s), HeldState::Fetching | HeldState::Running(_)) if !held.stop_sent => {
+            held.stop_sent = true;
+            Some(Command::Halt {
+                task,
+                attempt,
+                grace_s,
+            })
+        }
+        _ => None,
+    }
+}
--- a/crates/worksshunt-core/src/membership.rs
+++ b/crates/worksshunt-core/src/membership.rs
@@ -1,6 +1,6 @@
 //! Membership, leadership and authority.
 //!
-//! `c/m/NAME` is a controller's member key, attached to a hold of the state service; `c/epoch` is
+//! `c/n/NAME` is a controller's member key, attached to a hold of the state service; `c/epoch` is
 //! the epoch: number, leader, members. A member is a name together with its hold, so a controller
 //! that restarts is another member. Whoever finds the leader's member key gone writes the next
 //! epoch, conditional on the present one.
@@ -16,7 +16,10 @@
 pub const CONTROL: &str = "c/";
 /// Key of the epoch.
 pub const EPOCH: &str = "c/epoch";
-const MEMBERS: &str = "c/m/";
+const MEMBERS: &str = "c/n/";
+/// Prefix of the member keys of the first release, whose records and messages differ. The two must
+/// not act together: this one waits until no such member is left.
+const FORMER_MEMBERS: &str = "c/m/";
 
 /// Key of a controller's membership.
 pub fn member_key(name: &NodeName) -> String {
@@ -95,8 +98,15 @@
     authority_until: Time,
     /// Whether workers reach this controller, as far as it can tell.
     reached: bool,
-    /// The member key does not say so yet.
-    reached_unsaid: bool,
+    /// What the member key says of that; none if it is not known to be written.
+    reached_said: Option<bool>,
+    /// What the member key that is being written says.
+    saying: bool,
+    /// Version of the member key as last read; none before that. Writing it is conditional on it, so
+    /// that a late copy of a former life's message cannot undo it.
+    key_version: Option<Revision>,
+    /// Whether members of the first release were seen last.
+    former_seen: bool,
     /// Members seen alive but not in the epoch, with the reads in a row that showed them.
     waiting: Vec<(Member, u32)>,
 }
@@ -111,7 +121,10 @@
             epoch: None,
             authority_until: Time::default(),
             reached: true,
-            reached_unsaid: false,
+            reached_said: None,
+            saying: true,
+            key_version: None,
+            former_seen: false,
             waiting: Vec::new(),
         }
     }
@@ -121,7 +134,6 @@
         if self.reached != reached {
             tracing::info!(reached, "workers reach this controller");
             self.reached = reached;
-            self.reached_unsaid = true;
         }
     }
 
@@ -132,7 +144,13 @@
 
     /// Whether the member key has to be written: for the first time, or with something new.
     pub fn has_to_write_key(&self) -> bool {
-        self.standing == Standing::Joining || (self.hold.is_some() && self.reached_unsaid)
+        self.standing == Standing::Joining
+            || (self.hold.is_some() && self.reached_said != Some(self.reached))
+    }
+
+    /// Whether the member key's version has to be read before the key can be written.
+    pub fn has_to_read_key(&self) -> bool {
+        self.has_to_write_key() && self.key_version.is_none()
     }
 
     /// Its name.
@@ -206,36 +224,50 @@
     /// A hold was granted.
     pub fn granted(&mut self, hold: u64) {
         self.hold = Some(hold);
+        self.key_version = None;
         self.stand(Standing::Joining);
     }
 
     /// The hold is gone, or its member key could not be written.
     pub fn lost_hold(&mut self) {
         self.hold = None;
+        self.reached_said = None;
+        self.key_version = None;
         self.stand(Standing::Homeless);
     }
 
-    /// The transaction that writes the member key.
-    pub fn join_txn(&self) -> Option<Txn> {
-        let hold = self.hold?;
+    /// The transaction that writes the member key, once its present version is known.
+    pub fn join_txn(&mut self) -> Option<Txn> {
+        let (hold, version) = (self.hold?, self.key_version?);
+        self.saying = self.reached;
+        let key = member_key(&self.me);
         Some(Txn {
-            conditions: Vec::new(),
+            conditions: vec![Condition {
+                key: key.clone(),
+                version,
+            }],
             changes: vec![Change::Put {
-                key: member_key(&self.me),
-                value: serde_json::json!({ "hold": hold, "reached": self.reached }),
+                key,
+                value: serde_json::json!({ "hold": hold, "reached": self.saying }),
                 hold: Some(hold),
             }],
         })
     }
 
     /// The member key is written as [`Membership::join_txn`] last gave it.
-    pub fn joined(&mut self) {
-        self.reached_unsaid = false;
+    pub fn joined(&mut self, version: Revision) {
+        self.reached_said = Some(self.saying);
+        self.key_version = Some(version);
         if self.standing == Standing::Joining {
             self.stand(Standing::Outside);
         }
     }
 
+    /// The member key's version is not the one known.
+    pub fn key_overtaken(&mut self) {
+        self.key_version = None;
+    }
+
     /// All records of the epoch are read.
     pub fn loaded(&mut self) {
         if self.standing == Standing::Loading {
@@ -252,9 +284,27 @@
 
     /// Takes in a read of all control keys that was sent at `sent`.
     pub fn control_read(&mut self, sent: Time, listing: &Listing) -> Finding {
+        let own_key = member_key(&self.me);
+        let own = listing.pairs.iter().find(|pair| pair.key == own_key);
+        if self.key_version.is_none() && self.hold.is_some() {
+            self.key_version = Some(own.map_or(Revision(0), |pair| pair.version));
+        }
         if matches!(self.standing, Standing::Homeless | Standing::Joining) {
             return Finding::Steady;
         }
+        let former = listing
+            .pairs
+            .iter()
+            .any(|pair| pair.key.starts_with(FORMER_MEMBERS));
+        if former != std::mem::replace(&mut self.former_seen, former) {
+            tracing::warn!(
+                former,
+                "controllers of another version of the program are running"
+            );
+        }
+        if former {
+            return Finding::Steady;
+        }
         let Some(me) = self.member() else {
             return Finding::Steady;
         };
--- a/crates/worksshunt-core/src/placement.rs
+++ b/crates/worksshunt-core/src/placement.rs
@@ -129,8 +129,6 @@
 pub struct Candidate<'a> {
     /// The machine.
     pub id: &'a MachineId,
-    /// Share of its resources that is taken, 0 to 1.
-    pub fullness: f64,
     /// Its capacity, seconds of estimated work.
     pub capacity: f64,
 }
@@ -144,30 +142,24 @@
     pub over_capacity: bool,
 }
 
-/// Chooses the fullest capable machine, or the fullest fitting one when none is capable. Ties go
-/// to the first name.
+/// Chooses the fullest capable machine, or the fullest fitting one when none is capable. The
+/// candidates come the fullest first, equals by name.
 pub fn choose<'a>(
     estimate_s: f64,
     candidates: impl Iterator<Item = Candidate<'a>>,
 ) -> Option<Choice> {
-    let mut best: Option<(bool, Candidate<'a>)> = None;
+    let choice = |machine: &MachineId, over_capacity| Choice {
+        machine: machine.clone(),
+        over_capacity,
+    };
+    let mut fitting = None;
     for candidate in candidates {
-        let capable = candidate.capacity >= estimate_s;
-        let better = match &best {
-            None => true,
-            Some((best_capable, best)) => {
-                (capable, candidate.fullness, std::cmp::Reverse(candidate.id))
-                    > (*best_capable, best.fullness, std::cmp::Reverse(best.id))
-            }
-        };
-        if better {
-            best = Some((capable, candidate));
+        if candidate.capacity >= estimate_s {
+            return Some(choice(candidate.id, false));
         }
+        fitting.get_or_insert(candidate.id);
     }
-    best.map(|(capable, candidate)| Choice {
-        machine: candidate.id.clone(),
-        over_capacity: !capable,
-    })
+    fitting.map(|id| choice(id, true))
 }
 
 /// How a marked placement ended.
@@ -281,22 +273,18 @@
 mod tests {
     use super::*;
 
-    fn candidates(list: &[(&'static str, f64, f64)]) -> Vec<(MachineId, f64, f64)> {
-        list.iter()
-            .map(|(id, fullness, capacity)| (MachineId::from(*id), *fullness, *capacity))
-            .collect()
-    }
-
+    /// The choice among machines of that name, fullness and capacity.
     fn pick(estimate_s: f64, list: &[(&'static str, f64, f64)]) -> Option<Choice> {
-        let list = candidates(list);
-        choose(
-            estimate_s,
-            list.iter().map(|(id, fullness, capacity)| Candidate {
-                id,
-                fullness: *fullness,
-                capacity: *capacity,
-            }),
-        )
+        let mut list: Vec<(MachineId, f64, f64)> = list
+            .iter()
+            .map(|(id, fullness, capacity)| (MachineId::from(*id), *fullness, *capacity))
+            .collect();
+        list.sort_by(|a, b| b.1.total_cmp(&a.1));
+        let candidates = list.iter().map(|(id, _, capacity)| Candidate {
+            id,
+            capacity: *capacity,
+        });
+        choose(estimate_s, candidates)
     }
 
     #[test]
--- a/crates/worksshunt-core/src/quota.rs
+++ b/crates/worksshunt-core/src/quota.rs
@@ -1,6 +1,7 @@
 //! Teams' guarantees and limits.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use worksshunt_wire::settings::Team;
 use worksshunt_wire::TeamName;
@@ -17,13 +18,6 @@
     pub gpus: f64,
 }
 
-impl Usage {
-    /// Whether it lies within so much.
-    fn within(&self, cpus: f64, gpus: f64) -> bool {
-        self.cpus <= cpus + ROUNDING && self.gpus <= gpus + ROUNDING
-    }
-}
-
 /// What teams may use and do use.
 #[derive(Debug, Clone, Default)]
 pub struct Quota {
@@ -52,40 +46,65 @@
 
     /// Whether one more task of the job keeps its team within its limit.
     pub fn admits(&self, job: &Job) -> bool {
-        self.fits(job, |team| (team.cpus_max, team.gpus_max))
+        self.admitted(job) > 0
+    }
+
+    /// How many more tasks of the job its team's limit admits.
+    pub fn admitted(&self, job: &Job) -> u32 {
+        self.room(job, |team| (team.cpus_max, team.gpus_max))
     }
 
     /// Whether one more task of the job keeps its team within its guarantee.
     pub fn guarantees(&self, job: &Job) -> bool {
-        self.fits(job, |team| (team.cpus, team.gpus))
+        self.guaranteed(job) > 0
     }
 
-    fn fits(&self, job: &Job, bound: impl Fn(&Team) -> (f64, f64)) -> bool {
+    /// How many more tasks of the job lie within its team's guarantee.
+    pub fn guaranteed(&self, job: &Job) -> u32 {
+        self.room(job, |team| (team.cpus, team.gpus))
+    }
+
+    fn room(&self, job: &Job, bound: impl Fn(&Team) -> (f64, f64)) -> u32 {
         let Some(team) = self.teams.get(&job.spec.team) else {
-            return false;
+            return 0;
         };
         let (cpus, gpus) = bound(team);
         let used = self.used(&job.spec.team);
-        let with = Usage {
-            cpus: used.cpus + job.spec.cpus,
-            gpus: used.gpus + job.spec.gpus,
+        let times = |free: f64, each: f64| match each {
+            each if each > 0.0 => ((free + ROUNDING) / each).max(0.0) as u32,
+            // What it does not take cannot run out, but may have.
+            _ if free + ROUNDING >= 0.0 => u32::MAX,
+            _ => 0,
         };
-        with.within(cpus, gpus)
+        times(cpus - used.cpus, job.spec.cpus).min(times(gpus - used.gpus, job.spec.gpus))
     }
 
-    /// Whether all that a team uses lies within its guarantee.
-    pub fn within_guarantee(&self, name: &TeamName) -> bool {
-        let used = self.used(name);
-        self.teams
-            .get(name)
-            .is_none_or(|team| used.within(team.cpus, team.gpus))
+    /// Whether a team uses more than its guarantee even without some of its tasks.
+    pub fn over_guarantee_without<'a>(
+        &self,
+        name: &TeamName,
+        without: impl Iterator<Item = &'a Rc<Job>>,
+    ) -> bool {
+        let mut used = self.used(name);
+        for job in without {
+            used.cpus -= job.spec.cpus;
+            used.gpus -= job.spec.gpus;
+        }
+        let over =
+            |team: &Team| used.cpus > team.cpus + ROUNDING || used.gpus > team.gpus + ROUNDING;
+        self.teams.get(name).is_some_and(over)
     }
 
     /// Counts one more task of the job.
     pub fn take(&mut self, job: &Job) {
+        self.take_many(job, 1);
+    }
+
+    /// Counts more tasks of the job.
+    pub fn take_many(&mut self, job: &Job, tasks: u32) {
         let used = self.used.entry(job.spec.team.clone()).or_default();
-        used.cpus += job.spec.cpus;
-        used.gpus += job.spec.gpus;
+        used.cpus += job.spec.cpus * f64::from(tasks);
+        used.gpus += job.spec.gpus * f64::from(tasks);
     }
 
     /// Counts one task of the job less.
--- /dev/null
+++ b/crates/worksshunt-core/src/records.rs
@@ -0,0 +1,97 @@
+//! Machines' records: which attempts may be on which machine.
+//!
+//! `a/EPOCH.OWNER.N` is a page of attempts that an owner wrote in an epoch. Nothing is launched
+//! before it is on a page. Pages of former epochs are kept by the leader, until none of their
+//! attempts can be on a machine.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use worksshunt_wire::state::Pair;
+use worksshunt_wire::{Attempt, Epoch, MachineId, NodeName, Session, TaskId};
+
+use crate::pages::Entry;
+
+/// Prefix of the machines' records.
+pub const RECORDS: &str = "a/";
+
+/// Version of the records' form.
+const FORM: u32 = 2;
+
+/// Prefix of one owner's pages in an epoch.
+pub fn page_prefix(epoch: Epoch, owner: &NodeName) -> String {
+    format!("{RECORDS}{epoch}.{owner}.")
+}
+
+/// An attempt that may be on a machine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Recorded {
+    /// The machine.
+    pub machine: MachineId,
+    /// The task.
+    pub task: TaskId,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The worker's session it is meant for.
+    pub session: Session,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Stored {
+    v: u32,
+    on: Vec<(MachineId, TaskId, Attempt, Session)>,
+}
+
+impl Entry for Recorded {
+    type Key = Attempt;
+
+    fn size(&self, _: &Attempt) -> usize {
+        // Four values with their punctuation; numbers take at most 20 digits.
+        self.machine.0.len() + 72
+    }
+
+    fn join(&mut self, later: Recorded) {
+        *self = later;
+    }
+
+    fn value(entries: &BTreeMap<Attempt, Recorded>) -> Value {
+        let on = entries
+            .values()
+            .map(|r| (r.machine.clone(), r.task, r.attempt, r.session))
+            .collect();
+        serde_json::json!(Stored { v: FORM, on })
+    }
+}
+
+/// A record that this version of the program does not understand.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+#[error("record {0} was written by another version of the program")]
+pub struct UnknownForm(pub String);
+
+/// Reads a page. The first release kept one key per machine, which is understood too.
+pub fn read(pair: &Pair) -> Result<Vec<Recorded>, UnknownForm> {
+    let unknown = || UnknownForm(pair.key.clone());
+    let name = pair.key.strip_prefix(RECORDS).ok_or_else(unknown)?;
+    if let Ok(old) = Vec::<(TaskId, Attempt, Session)>::deserialize(&pair.value) {
+        let on = old.into_iter().map(|(task, attempt, session)| Recorded {
+            machine: name.into(),
+            task,
+            attempt,
+            session,
+        });
+        return Ok(on.collect());
+    }
+    match Stored::deserialize(&pair.value) {
+        Ok(Stored { v: FORM, on }) => Ok(on
+            .into_iter()
+            .map(|(machine, task, attempt, session)| Recorded {
+                machine,
+                task,
+                attempt,
+                session,
+            })
+            .collect()),
+        _ => Err(unknown()),
+    }
+}
--- a/crates/worksshunt-core/src/time.rs
+++ b/crates/worksshunt-core/src/time.rs
@@ -86,3 +86,31 @@
         self.level -= count as f64;
     }
 }
+
+/// Something done at intervals and repeated sooner when it fails.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Periodic {
+    /// Not before.
+    pub next: Time,
+    /// Under way.
+    pub in_flight: bool,
+}
+
+impl Periodic {
+    /// Whether it should be done now.
+    pub fn due(&self, now: Time) -> bool {
+        !self.in_flight && now >= self.next
+    }
+
+    /// It is under way; next time no sooner than after so long.
+    pub fn sent(&mut self, now: Time, every_ms: u64) {
+        self.in_flight = true;
+        self.next = now + every_ms;
+    }
+
+    /// It has ended; next time after so long.
+    pub fn retry(&mut self, now: Time, after_ms: u64) {
+        self.in_flight = false;
+        self.next = now + after_ms;
+    }
+}
--- a/crates/worksshunt-core/src/users.rs
+++ b/crates/worksshunt-core/src/users.rs
@@ -11,8 +11,9 @@
 use worksshunt_wire::user::{JobState, JobStatus};
 use worksshunt_wire::JobId;
 
-use crate::constants::{RETRY_AFTER_S, TXN_BYTES, USER_QUEUE};
+use crate::constants::{RETRY_AFTER_S, SUBMIT_PATIENCE_MS, TXN_BYTES, USER_QUEUE};
 use crate::jobs::{final_key, final_value, open_key, Job, OpenJob, Refusal};
+use crate::time::Time;
 
 /// Names an open request of some client.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -192,6 +193,9 @@
     Reply::state(201, id, JobState::Pending)
 }
 
+/// A submission that waits to be written, and since when.
+type Submission = (Time, RequestId, Box<Job>);
+
 /// Requests that wait for the state service.
 #[derive(Debug, Default)]
 pub struct Users {
@@ -199,8 +203,9 @@
     waiting: Vec<Ask>,
     /// Waiting for the answer of the one under way.
     reading: Vec<Ask>,
-    accepts: VecDeque<(RequestId, Box<Job>)>,
-    accepting: Vec<(RequestId, Box<Job>)>,
+    /// Submissions with the time they came in.
+    accepts: VecDeque<Submission>,
+    accepting: Vec<Submission>,
 }
 
 impl Users {
@@ -231,8 +236,28 @@
     }
 
     /// A submission waits to be written.
-    pub fn accept(&mut self, request: RequestId, job: Box<Job>) {
-        self.accepts.push_back((request, job));
+    pub fn accept(&mut self, now: Time, request: RequestId, job: Box<Job>) {
+        self.accepts.push_back((now, request, job));
+    }
+
+    /// Submissions whose write was not executed wait for the next one.
+    pub fn accept_again(&mut self, submissions: Vec<Submission>) {
+        for submission in submissions.into_iter().rev() {
+            self.accepts.push_front(submission);
+        }
+    }
+
+    /// Submissions that have waited so long that their users should rather come back.
+    pub fn overdue(&mut self, now: Time) -> Vec<RequestId> {
+        let mut overdue = Vec::new();
+        self.accepts.retain(|(since, request, _)| {
+            let late = now.since(*since) >= SUBMIT_PATIENCE_MS;
+            if late {
+                overdue.push(*request);
+            }
+            !late
+        });
+        overdue
     }
 
     /// The next transaction that accepts jobs; none while one is under way. Each job is accepted
@@ -244,7 +269,7 @@
         let mut txn = Txn::default();
         let mut bytes = 0;
         while txn.changes.len() < most {
-            let Some((request, job)) = self.accepts.pop_front() else {
+            let Some((since, request, job)) = self.accepts.pop_front() else {
                 break;
             };
             let id = job.spec.id;
@@ -253,7 +278,7 @@
             let value = serde_json::json!(job);
             bytes += value.to_string().len() + 2 * key.len();
             if twice || (bytes > TXN_BYTES && !txn.changes.is_empty()) {
-                self.accepts.push_front((request, job));
+                self.accepts.push_front((since, request, job));
                 break;
             }
             for key in [key.clone(), final_key(id)] {
@@ -267,20 +292,20 @@
                 value,
                 hold: None,
             });
-            self.accepting.push((request, job));
+            self.accepting.push((since, request, job));
         }
         (!txn.changes.is_empty()).then_some(txn)
     }
 
     /// The transaction under way is answered: these submissions were in it.
-    pub fn accept_answered(&mut self) -> Vec<(RequestId, Box<Job>)> {
+    pub fn accept_answered(&mut self) -> Vec<Submission> {
         std::mem::take(&mut self.accepting)
     }
 
     /// Gives up on everything that waits.
     pub fn refuse_all(&mut self) -> Vec<RequestId> {
         let asks = self.waiting.drain(..).map(|ask| ask.request);
-        asks.chain(self.accepts.drain(..).map(|(request, _)| request))
+        asks.chain(self.accepts.drain(..).map(|(_, request, _)| request))
             .collect()
     }
 }
--- a/crates/worksshunt-core/tests/world/mod.rs
+++ b/crates/worksshunt-core/tests/world/mod.rs
@@ -597,11 +597,17 @@
                 self.at(self.now + HOP_MS, Happening::Dispatch(node, life, event));
             }
             Happening::PeerAsk(node, life, to, id, request) => {
-                if let Some(to_life) = self.nodes[to].as_ref().map(|n| n.life) {
-                    self.waiting
-                        .insert((to, to_life, id), Waiting::Peer(node, life, id.0));
-                    self.dispatch(to, to_life, Event::Peer(id, request));
-                }
+                let Some(to_life) = self.nodes[to].as_ref().map(|n| n.life) else {
+                    if let PeerRequest::Sync(_) = request {
+                        let event = Box::new(Event::PeerAnswer(None));
+                        let when = self.now + SYNC_DEADLINE_MS;
+                        self.at(when, Happening::Dispatch(node, life, event));
+                    }
+                    return;
+                };
+                self.waiting
+                    .insert((to, to_life, id), Waiting::Peer(node, life, id.0));
+                self.dispatch(to, to_life, Event::Peer(id, request));
             }
             Happening::PeerSilence(node, life, id) => {
                 let lost = self
@@ -609,11 +615,8 @@
                     .iter()
                     .find(|(_, w)| matches!(w, Waiting::Peer(n, l, i) if (*n, *l, *i) == (node, life, id)))
                     .map(|(key, _)| *key);
-                let down = !self.nodes.iter().all(Option::is_some);
                 if let Some(key) = lost {
                     self.waiting.remove(&key);
-                }
-                if lost.is_some() || down {
                     self.dispatch(node, life, Event::PeerAnswer(None));
                 }
             }
--- a/crates/worksshunt-net/src/worker.rs
+++ b/crates/worksshunt-net/src/worker.rs
@@ -30,8 +30,12 @@
     fn client(&self, addr: SocketAddr) -> Rc<HttpClient> {
         let mut clients = self.clients.borrow_mut();
         if clients.len() >= self.most && !clients.contains_key(&addr) {
-            // Connections to machines long gone have to end some day; new ones are cheap.
-            clients.clear();
+            // Connections to machines long gone have to end some day: the one after the newcomer
+            // goes, so that all take turns.
+            let next = clients.range(addr..).next().map(|(addr, _)| *addr);
+            if let Some(other) = next.or_else(|| clients.keys().next().copied()) {
+                clients.remove(&other);
+            }
         }
         let client = clients
             .entry(addr)
