--- a/crates/worksshunt-wire/src/peer.rs
+++ b/crates/worksshunt-wire/src/peer.rs
@@ -1,7 +1,8 @@
 //! Messages between controllers, in borsh.
 //!
-//! A part's owner sends the leader the whole state of its part and receives what has changed for
-//! it. One exchange is in flight at a time, so a lost message is repaired by the next exchange.
+//! A part's owner tells the leader what has changed in its part, the leader answers with what is
+//! new for it. One exchange is in flight at a time. Each side repeats what the other has not
+//! confirmed, and everything said is a state and not a step, so a repetition changes nothing.
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
@@ -27,8 +28,8 @@
     pub task: TaskId,
     /// The attempt.
     pub attempt: Attempt,
-    /// Its machine, once chosen.
-    pub machine: Option<MachineId>,
+    /// Its machine.
+    pub machine: MachineId,
     /// Where it stands.
     pub phase: Phase,
     /// How long it has run, milliseconds.
@@ -58,36 +59,59 @@
     pub memory_gb: f64,
     /// Whether the cloud gave notice to take it.
     pub noticed: bool,
+    /// Whether its worker is heard but has not been reached for long.
+    pub unreached: bool,
     /// Whether the lease of its worker has certainly run out.
     pub lost: bool,
 }
 
-/// How an attempt ended without completing.
+/// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub enum Failure {
+pub enum End {
     /// It failed on its machine.
     Error,
     /// It was stopped, or its machine refused it.
     Stopped,
     /// Its machine was lost.
     Lost,
+    /// The part found no machine for it.
+    HandedBack,
+    /// It completed, which is durable, and its worker has forgotten it.
+    Settled,
 }
 
-/// A part's state, from its owner to the leader.
+/// An attempt that is certainly gone.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Ended {
+    /// The task.
+    pub task: TaskId,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The machine it was on, if any.
+    pub machine: Option<MachineId>,
+    /// How it ended.
+    pub how: End,
+}
+
+/// What has changed in a part since the leader last confirmed, from its owner to the leader.
 #[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct SyncUp {
     /// The epoch.
     pub epoch: Epoch,
     /// The owner.
     pub from: NodeName,
+    /// Number of this message; the leader takes none that is overtaken by a later one.
+    pub number: u64,
     /// Number of the last answer that the owner has acted on.
     pub seen: u64,
-    /// All its machines.
+    /// Machines that changed.
     pub machines: Vec<MachineUp>,
-    /// All its attempts.
+    /// Machines that are no longer part of it.
+    pub forgotten: Vec<MachineId>,
+    /// Attempts that changed.
     pub attempts: Vec<AttemptUp>,
-    /// Attempts that ended without completing since the last answer.
-    pub failures: Vec<(TaskId, Attempt, MachineId, Failure)>,
+    /// Attempts that ended.
+    pub ended: Vec<Ended>,
 }
 
 /// A task handed to a part.
@@ -103,11 +127,24 @@
     pub claimed: Option<MachineId>,
 }
 
+/// What the leader wants of a part's machines; always complete.
+#[derive(Debug, Clone, PartialEq, Eq, Default, BorshSerialize, BorshDeserialize)]
+pub struct Wishes {
+    /// Machines that take no new tasks: they are to be returned.
+    pub drains: Vec<MachineId>,
+    /// Machines claimed for a task no part could hold: they take nothing else.
+    pub claims: Vec<MachineId>,
+    /// Machines the cloud has confirmed gone.
+    pub gone: Vec<MachineId>,
+}
+
 /// The leader's answer.
 #[derive(Debug, Clone, PartialEq, Default, BorshSerialize, BorshDeserialize)]
 pub struct SyncDown {
     /// The epoch.
     pub epoch: Epoch,
+    /// Number of the message this answers.
+    pub number: u64,
     /// Number of this answer.
     pub seq: u64,
     /// New tasks.
@@ -116,20 +153,16 @@
     pub stops: Vec<Attempt>,
     /// Attempts whose completion is durable.
     pub durable: Vec<Attempt>,
-    /// Machines that take no new tasks: they are to be returned.
-    pub drains: Vec<MachineId>,
-    /// Machines claimed for a task no part could hold: they take nothing else.
-    pub claims: Vec<MachineId>,
-    /// Machines the cloud has confirmed gone.
-    pub gone: Vec<MachineId>,
-    /// Progress of open jobs: done and running tasks, for display.
-    pub progress: Vec<(JobId, u32, u32)>,
+    /// What is wanted of the machines, if the owner does not know it yet.
+    pub wishes: Option<Wishes>,
+    /// Progress of open jobs, done and running tasks, for display; from time to time.
+    pub progress: Option<Vec<(JobId, u32, u32)>>,
 }
 
 /// A message on the peer link.
 #[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum PeerRequest {
-    /// A part's state.
+    /// A part's changes.
     Sync(SyncUp),
     /// Whether the peer reaches the state service.
     StoreHealth,
