--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -125,6 +125,13 @@
 /// once rather than after a deadline.
 pub const STORE_SILENT_MS: u64 = 2_500;
 
+/// Submissions waiting at a controller from which they are taken in many to a key. Fewer are written
+/// one to a key at once, which saves the second write.
+pub const INTAKE_FROM: usize = 6;
+
+/// Share of the write limit that the leader uses to give jobs taken in together keys of their own.
+pub const INTAKE_SHARE: f64 = 0.4;
+
 /// Milliseconds a submission waits for its turn to be written before its user is asked to come back:
 /// half of what users wait for an answer.
 pub const SUBMIT_PATIENCE_MS: u64 = 2_500;
--- a/crates/worksshunt-core/src/controller/epochs.rs
+++ b/crates/worksshunt-core/src/controller/epochs.rs
@@ -12,7 +12,7 @@
 use crate::placement::owner;
 use crate::records::{self, Recorded, UnknownForm, RECORDS};
 use crate::time::{Now, Periodic, Time};
-use crate::users::{settled, unknown, Reply};
+use crate::users::{not_final, settled, Reply};
 
 use super::writes::Lane;
 use super::{store, Action, Controller, Leader, Loading, StoreOp, StoreReply, StoreTag};
@@ -24,6 +24,8 @@
     records: Vec<Pair>,
     done: Vec<Pair>,
     claims: Vec<Pair>,
+    /// The fleet as this controller knew it when it led the last epoch it led.
+    fleet: Option<Fleet>,
 }
 
 impl Controller {
@@ -104,7 +106,12 @@
             StoreTag::Control => {
                 self.control_turn.in_flight = false;
                 match reply {
-                    StoreReply::Listing(listing) => self.control(t, sent, &listing, out),
+                    StoreReply::Listing(listing) => {
+                        self.control(t, sent, &listing, out);
+                        if self.membership.has_to_write_key() && !self.hold_turn.in_flight {
+                            self.hold_turn.next = t;
+                        }
+                    }
                     _ => self.control_turn.next = t + STORE_RETRY_MS,
                 }
             }
@@ -148,8 +155,12 @@
             StoreTag::Ends(epoch) if epoch == self.membership.token() => {
                 self.lane_answer(Lane::Ends, t, sent, reply);
             }
+            StoreTag::Intake(epoch) if epoch == self.membership.token() => {
+                self.lane_answer(Lane::Intake, t, sent, reply);
+            }
             // Of a former epoch.
-            StoreTag::Records(_) | StoreTag::Pages(_) | StoreTag::Ends(_) => {}
+            StoreTag::Records(_) | StoreTag::Pages(_) | StoreTag::Ends(_) | StoreTag::Intake(_) => {
+            }
             StoreTag::Refresh(epoch, key) => {
                 if epoch == self.membership.token() {
                     self.refreshed(t, &key, reply);
@@ -195,7 +206,10 @@
                         out.push(Action::Reply(ask.request, Reply::later("unreadable state")));
                     }
                 },
-                StoreReply::Missing => self.step(t, unknown(ask), out),
+                StoreReply::Missing => {
+                    let step = not_final(ask, &self.mirror);
+                    self.step(t, step, out);
+                }
                 _ => out.push(Action::Reply(
                     ask.request,
                     Reply::later("the state service does not answer"),
@@ -251,8 +265,11 @@
     }
 
     fn new_epoch(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.leader = None;
-        self.load = Load::default();
+        let fleet = self.leader.take().map(|leader| leader.fleet);
+        self.load = Load {
+            fleet: fleet.or(self.load.fleet.take()),
+            ..Load::default()
+        };
         self.load_retry = Periodic::default();
         let owners = self
             .membership
--- a/crates/worksshunt-core/src/controller/events.rs
+++ b/crates/worksshunt-core/src/controller/events.rs
@@ -83,6 +83,8 @@
     Pages(Epoch),
     /// A write of ends of jobs and claims.
     Ends(Epoch),
+    /// A write that gives jobs taken in together keys of their own.
+    Intake(Epoch),
     /// A page whose version has become uncertain.
     Refresh(Epoch, String),
     /// A final state that questions had to be put off for.
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -54,6 +54,8 @@
     catalog_kept: Option<Catalog>,
     progress: Progress,
     lanes: Lanes,
+    /// Pages of jobs taken in together by this process.
+    intake_pages: u64,
     /// Jobs whose final state is to be read as soon as the share of reads allows, in the order in
     /// which they were asked for.
     to_learn: VecDeque<JobId>,
@@ -105,6 +107,7 @@
             catalog_kept: None,
             progress: Progress::new(),
             lanes: Lanes::new(&facts.state),
+            intake_pages: 0,
             to_learn: VecDeque::new(),
             learning: BTreeSet::new(),
             reads: Bucket::new(read_rate, read_rate.max(1.0)),
--- a/crates/worksshunt-core/src/controller/requests.rs
+++ b/crates/worksshunt-core/src/controller/requests.rs
@@ -5,7 +5,7 @@
 
 use crate::constants::*;
 use crate::fleet::CloudRequest;
-use crate::jobs::{check_possible, final_key, open_key, parse, Job, Refusal, OPEN};
+use crate::jobs::{check_possible, final_key, intake_key, open_key, parse, Job, Refusal, OPEN};
 use crate::placement::owner;
 use crate::time::{Now, Time};
 use crate::users::{accepted, resolve, settled, Ask, Question, Reply, RequestId, Step};
@@ -32,13 +32,16 @@
             self.reads.take(1);
             store(out, StoreTag::Learn(id), StoreOp::Get(final_key(id)));
         }
-        if self.accept_turn.due(now) {
-            let most = self
-                .lanes
-                .user_writes
-                .available(now)
-                .min(self.settings.facts.state.txn_ops);
-            if let Some(txn) = self.users.accept_txn(most) {
+        if self.accept_turn.due(now) && self.users.wants_accept() {
+            let limits = &self.settings.facts.state;
+            let most = self.lanes.user_writes.available(now).min(limits.txn_ops);
+            let (me, hold) = (self.membership.me(), self.membership.hold());
+            let count = &mut self.intake_pages;
+            let txn = self.users.accept_txn(most, limits, || {
+                *count += 1;
+                hold.map(|hold| intake_key(me, hold, *count))
+            });
+            if let Some(txn) = txn {
                 self.lanes.user_writes.take(txn.changes.len());
                 self.accept_turn.sent(now, 0);
                 store(out, StoreTag::Accept, StoreOp::Txn(txn));
@@ -66,6 +69,7 @@
                     request,
                     id,
                     question,
+                    taken_in: false,
                 };
                 match self.mirror.final_state(id) {
                     Some(state) => settled(&ask, state),
@@ -119,7 +123,7 @@
             Ok(None) => Reply::later("machine types not known yet"),
             Ok(Some(spec)) => {
                 let id = spec.id;
-                let known = self.mirror.get(id).is_some();
+                let known = self.mirror.get(id).is_some() || self.mirror.taken_in(id);
                 let job = Box::new(Job {
                     spec,
                     accepted_ms: now.wall_ms,
@@ -128,6 +132,7 @@
                     request,
                     id,
                     question: Question::Submit(job),
+                    taken_in: false,
                 };
                 if let Some(state) = self.mirror.final_state(id) {
                     settled(&ask, state)
@@ -153,6 +158,7 @@
                     request,
                     id,
                     question: Question::Unacceptable(refusal),
+                    taken_in: false,
                 };
                 match self.queue(now.steady, ask) {
                     Ok(()) => return,
@@ -183,15 +189,14 @@
                 store(out, StoreTag::Final(ask), op);
             }
             Step::Withdraw(ask, txn) => self.write_withdrawal(ask, txn, out),
+            Step::AskAgain(ask) => self.users.wait(ask),
             Step::Accept(request, job) => self.users.accept(now, request, job),
         }
     }
 
     fn resolve(&mut self, now: Time, asks: Vec<Ask>, out: &mut Vec<Action>) {
         for ask in asks {
-            let open = self.mirror.get(ask.id);
-            let known_final = self.mirror.final_state(ask.id);
-            let step = resolve(ask, open, known_final, &self.progress);
+            let step = resolve(ask, &self.mirror, &self.progress);
             self.step(now, step, out);
         }
     }
@@ -231,6 +236,7 @@
                             request,
                             id,
                             question: Question::Submit(job),
+                            taken_in: false,
                         });
                     } else {
                         self.users.accept(now, request, job);
--- a/crates/worksshunt-core/src/controller/writes.rs
+++ b/crates/worksshunt-core/src/controller/writes.rs
@@ -4,13 +4,15 @@
 //! changes where a late copy could do harm. A write without a clear answer is repeated unchanged:
 //! whatever happens to its copies, it is applied once or never.
 
+use std::collections::BTreeSet;
+
 use worksshunt_wire::settings::StateLimits;
 use worksshunt_wire::state::{Change, Condition, Txn};
 use worksshunt_wire::{JobId, MachineId, Revision};
 
 use crate::allotment::{claim_key, Due};
 use crate::constants::*;
-use crate::jobs::{final_key, final_value, open_key};
+use crate::jobs::{final_key, final_value, intake_value, is_intake, job_of, open_key, Job};
 use crate::membership::EPOCH;
 use crate::pages::PageWrite;
 use crate::time::{Bucket, Periodic, Time};
@@ -28,6 +30,8 @@
     Pages,
     /// Ends of jobs and claims (leader).
     Ends,
+    /// Keys of their own for jobs taken in together (leader).
+    Intake,
 }
 
 /// One write among the ends.
@@ -59,6 +63,11 @@
     records: Line,
     pages: Line,
     ends: Line,
+    intake: Line,
+    /// The page of jobs that was last dealt with, until the mirror shows what has become of it.
+    intake_done: Option<(String, Revision)>,
+    /// Jobs on pages that turned out to have a key already, or to be over.
+    settled: BTreeSet<JobId>,
     refresh: Periodic,
     ending: Vec<End>,
     write_rps: f64,
@@ -66,6 +75,7 @@
     record_writes: Bucket,
     page_writes: Bucket,
     end_writes: Bucket,
+    intake_writes: Bucket,
     /// For submissions and cancellations.
     pub user_writes: Bucket,
 }
@@ -78,6 +88,9 @@
             records: Line::default(),
             pages: Line::default(),
             ends: Line::default(),
+            intake: Line::default(),
+            intake_done: None,
+            settled: BTreeSet::new(),
             refresh: Periodic::default(),
             ending: Vec::new(),
             write_rps: state.write_rps,
@@ -85,6 +98,7 @@
             record_writes: Bucket::new(rate(RECORD_SHARE), PAGES_AT_ONCE as f64),
             page_writes: Bucket::new(rate(PAGE_SHARE), PAGES_AT_ONCE as f64),
             end_writes: Bucket::new(rate(END_SHARE), burst),
+            intake_writes: Bucket::new(rate(INTAKE_SHARE), burst),
             user_writes: Bucket::new(rate(USER_WRITE_SHARE), burst),
         }
     }
@@ -94,6 +108,9 @@
         self.records = Line::default();
         self.pages = Line::default();
         self.ends = Line::default();
+        self.intake = Line::default();
+        self.intake_done = None;
+        self.settled.clear();
         self.refresh = Periodic::default();
         self.ending.clear();
         let rate = self.write_rps * RECORD_SHARE / owners.max(1) as f64;
@@ -105,6 +122,7 @@
             Lane::Records => &mut self.records,
             Lane::Pages => &mut self.pages,
             Lane::Ends => &mut self.ends,
+            Lane::Intake => &mut self.intake,
         }
     }
 }
@@ -117,6 +135,7 @@
         if self.leader.is_some() {
             self.lane_turn(Lane::Ends, now, out);
             self.lane_turn(Lane::Pages, now, out);
+            self.lane_turn(Lane::Intake, now, out);
         }
     }
 
@@ -137,6 +156,7 @@
                 Lane::Records => self.record_txn(now, &mut txn),
                 Lane::Pages => self.pages_txn(now, &mut txn),
                 Lane::Ends => self.ends_txn(now, &mut txn),
+                Lane::Intake => self.intake_txn(now, &mut txn),
             }
             if txn.changes.is_empty() {
                 return;
@@ -154,6 +174,7 @@
             Lane::Records => (StoreTag::Records(token), &mut self.lanes.record_writes),
             Lane::Pages => (StoreTag::Pages(token), &mut self.lanes.page_writes),
             Lane::Ends => (StoreTag::Ends(token), &mut self.lanes.end_writes),
+            Lane::Intake => (StoreTag::Intake(token), &mut self.lanes.intake_writes),
         };
         writes.take(changes);
         store(out, tag, StoreOp::Txn(txn));
@@ -229,6 +250,55 @@
         }
     }
 
+    /// Gives jobs of one page taken in together keys of their own, as many as the share allows, and
+    /// drops those that have one already or are over.
+    fn intake_txn(&mut self, now: Time, txn: &mut Txn) {
+        let lanes = &mut self.lanes;
+        let most = lanes.intake_writes.available(now).min(lanes.txn_ops);
+        let dealt_with = |key: &String, version| {
+            let done = lanes.intake_done.as_ref();
+            done.is_some_and(|(k, v)| k == key && *v == version)
+        };
+        let mut pages = self.mirror.intake();
+        let Some((key, page)) = pages.find(|(key, page)| !dealt_with(key, page.version)) else {
+            return;
+        };
+        // A key each, and the page itself.
+        let Some(most) = most.checked_sub(1).filter(|most| *most > 0) else {
+            return;
+        };
+        let condition = |key: String, version| Condition { key, version };
+        let mut left: Vec<&Job> = Vec::new();
+        for job in &page.jobs {
+            let id = job.spec.id;
+            if self.lanes.settled.contains(&id) || self.mirror.get(id).is_some() {
+                continue;
+            }
+            if txn.changes.len() >= most {
+                left.push(job);
+                continue;
+            }
+            txn.conditions.push(condition(open_key(id), Revision(0)));
+            txn.conditions.push(condition(final_key(id), Revision(0)));
+            txn.changes.push(Change::Put {
+                key: open_key(id),
+                value: serde_json::json!(**job),
+                hold: None,
+            });
+        }
+        txn.conditions.push(condition(key.clone(), page.version));
+        txn.changes.push(if left.is_empty() {
+            Change::Delete { key: key.clone() }
+        } else {
+            Change::Put {
+                key: key.clone(),
+                value: intake_value(&left),
+                hold: None,
+            }
+        });
+        self.lanes.intake_done = Some((key.clone(), page.version));
+    }
+
     /// A write was answered, or not.
     pub(super) fn lane_answer(&mut self, lane: Lane, now: Time, sent: Time, reply: StoreReply) {
         let line = self.lanes.line(lane);
@@ -244,11 +314,10 @@
                 self.control_turn.next = now;
                 Outcome::Unclear
             }
-            // Nobody else writes an owner's pages, the leader's pages or its claims in its epoch: a
-            // copy of this write was applied before.
+            // Nobody else writes an owner's pages, the leader's pages or its claims in its epoch, or
+            // deals with pages of jobs: a copy of this write was applied before.
             StoreReply::Conflict(failed) => {
-                let own =
-                    |key: &String| lane != Lane::Ends || key.starts_with(crate::allotment::CLAIMS);
+                let own = |key: &String| is_intake(key) || job_of(key).is_none();
                 if failed.iter().any(own) {
                     Outcome::Applied(None)
                 } else {
@@ -289,6 +358,14 @@
                     }
                 }
             }
+            // The mirror will tell.
+            (Lane::Intake, Outcome::Applied(_)) => {}
+            (Lane::Intake, Outcome::Refuted(failed)) => {
+                self.lanes.intake_done = None;
+                self.lanes
+                    .settled
+                    .extend(failed.iter().filter_map(|key| job_of(key)));
+            }
             (lane, Outcome::Refuted(keys)) => {
                 tracing::error!(?lane, ?keys, "a write of pages was refuted");
             }
--- a/crates/worksshunt-core/src/fleet.rs
+++ b/crates/worksshunt-core/src/fleet.rs
@@ -153,6 +153,21 @@
         }
     }
 
+    /// The epoch it is for.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Goes on into the next epoch under the same leader, which knows all that was rented.
+    pub fn carried_over(mut self, epoch: Epoch) -> Fleet {
+        self.epoch = epoch;
+        self.requests = 0;
+        // Answers may have come while nobody led: both are asked for again, under their names.
+        self.rent_in_flight = false;
+        self.return_in_flight = false;
+        self
+    }
+
     /// Takes in the machine list. Absence from it proves nothing for a while, so a machine that
     /// is not listed is dropped only when it was not heard of either.
     pub fn listed(&mut self, now: Time, list: &[ListedMachine]) {
--- a/crates/worksshunt-core/src/jobs.rs
+++ b/crates/worksshunt-core/src/jobs.rs
@@ -1,7 +1,7 @@
 //! Jobs: what is accepted, what every controller knows of the open ones, and which tasks are done.
 //!
-//! Keys in the state service: `j/ID` an open job, `f/ID` the final state of one that is over,
-//! `d/N` a page of completed tasks of open ones.
+//! Keys in the state service: `j/ID` an open job, `j/+N` a page of jobs taken in together, `f/ID` the
+//! final state of one that is over, `d/N` a page of completed tasks of open ones.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
@@ -12,7 +12,7 @@
 use worksshunt_wire::settings::Team;
 use worksshunt_wire::state::{Changes, Listing, WatchEvent};
 use worksshunt_wire::user::{JobSpec, JobState};
-use worksshunt_wire::{JobId, Revision, TaskId};
+use worksshunt_wire::{JobId, NodeName, Revision, TaskId};
 
 use crate::constants::{DONE_CHUNK, FINALS_KEPT, MAX_TASKS};
 use crate::pages::Entry;
@@ -31,6 +31,52 @@
     format!("{OPEN}{id}")
 }
 
+/// Prefix of the pages of jobs taken in together, which watches of open jobs see too.
+const INTAKE: &str = "j/+";
+
+/// Key of a page of jobs taken in by one life of a controller.
+pub fn intake_key(node: &NodeName, hold: u64, number: u64) -> String {
+    format!("{INTAKE}{node}.{hold}.{number}")
+}
+
+/// Whether a key is that of such a page.
+pub fn is_intake(key: &str) -> bool {
+    key.starts_with(INTAKE)
+}
+
+/// The job that the key of an open job or of a final state belongs to.
+pub fn job_of(key: &str) -> Option<JobId> {
+    id_of(key, OPEN).or_else(|| id_of(key, FINAL))
+}
+
+/// Version of the intake pages' form.
+const INTAKE_FORM: u32 = 1;
+
+#[derive(Serialize, Deserialize)]
+struct StoredIntake<J> {
+    v: u32,
+    jobs: Vec<J>,
+}
+
+/// A page of jobs taken in together, as stored.
+pub fn intake_value(jobs: &[&Job]) -> Value {
+    let jobs = jobs.to_vec();
+    serde_json::json!(StoredIntake {
+        v: INTAKE_FORM,
+        jobs
+    })
+}
+
+fn read_intake(key: &str, value: &Value) -> Vec<Rc<Job>> {
+    match StoredIntake::<Job>::deserialize(value) {
+        Ok(stored) if stored.v == INTAKE_FORM => stored.jobs.into_iter().map(Rc::new).collect(),
+        _ => {
+            tracing::error!(key, "a page of jobs taken in cannot be read");
+            Vec::new()
+        }
+    }
+}
+
 /// Key of a final state.
 pub fn final_key(id: JobId) -> String {
     format!("{FINAL}{id}")
@@ -172,6 +218,15 @@
     pub version: Revision,
 }
 
+/// A page of jobs taken in together.
+#[derive(Debug, Clone)]
+pub struct Intake {
+    /// The jobs.
+    pub jobs: Vec<Rc<Job>>,
+    /// Revision of its key.
+    pub version: Revision,
+}
+
 /// What changed in the mirror.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MirrorChange {
@@ -186,6 +241,8 @@
 #[derive(Debug, Default)]
 pub struct Mirror {
     open: BTreeMap<JobId, OpenJob>,
+    /// Jobs accepted many at a time, each of which the leader gives a key of its own.
+    intake: BTreeMap<String, Intake>,
     revision: Option<Revision>,
     finals: HashMap<JobId, JobState>,
     finals_order: VecDeque<JobId>,
@@ -213,6 +270,17 @@
         self.open.get(&id)
     }
 
+    /// Pages of jobs taken in together.
+    pub fn intake(&self) -> impl Iterator<Item = (&String, &Intake)> {
+        self.intake.iter()
+    }
+
+    /// Whether the job is on such a page. It may have become an open job, and be over, since.
+    pub fn taken_in(&self, id: JobId) -> bool {
+        let mut jobs = self.intake.values().flat_map(|page| &page.jobs);
+        jobs.any(|job| job.spec.id == id)
+    }
+
     /// All open jobs.
     pub fn open(&self) -> impl Iterator<Item = (&JobId, &OpenJob)> {
         self.open.iter()
@@ -252,6 +320,13 @@
         for id in listed.keys().filter(|id| !self.open.contains_key(id)) {
             changes.push(MirrorChange::Opened(*id));
         }
+        let intake = listing.pairs.iter().filter(|pair| is_intake(&pair.key));
+        self.intake = intake
+            .map(|pair| {
+                let (jobs, version) = (read_intake(&pair.key, &pair.value), pair.version);
+                (pair.key.clone(), Intake { jobs, version })
+            })
+            .collect();
         self.open = listed;
         self.revision = Some(listing.revision);
         changes
@@ -275,7 +350,10 @@
                     if *version <= revision {
                         continue;
                     }
-                    if let Some(id) = id_of(key, OPEN) {
+                    if is_intake(key) {
+                        let (jobs, version) = (read_intake(key, value), *version);
+                        self.intake.insert(key.clone(), Intake { jobs, version });
+                    } else if let Some(id) = id_of(key, OPEN) {
                         if let Some(open) = read_open(id, value, *version) {
                             if self.open.insert(id, open).is_none() {
                                 out.push(MirrorChange::Opened(id));
@@ -287,6 +365,9 @@
                     if *version <= revision {
                         continue;
                     }
+                    if self.intake.remove(key).is_some() {
+                        continue;
+                    }
                     if let Some(id) = id_of(key, OPEN) {
                         if self.open.remove(&id).is_some() {
                             out.push(MirrorChange::Closed(id));
--- a/crates/worksshunt-core/src/membership.rs
+++ b/crates/worksshunt-core/src/membership.rs
@@ -148,11 +148,6 @@
             || (self.hold.is_some() && self.reached_said != Some(self.reached))
     }
 
-    /// Whether the member key's version has to be read before the key can be written.
-    pub fn has_to_read_key(&self) -> bool {
-        self.has_to_write_key() && self.key_version.is_none()
-    }
-
     /// Its name.
     pub fn me(&self) -> &NodeName {
         &self.me
--- a/crates/worksshunt-core/src/users.rs
+++ b/crates/worksshunt-core/src/users.rs
@@ -7,12 +7,14 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use serde::Serialize;
+use worksshunt_wire::settings::StateLimits;
 use worksshunt_wire::state::{Change, Condition, Txn};
 use worksshunt_wire::user::{JobState, JobStatus};
-use worksshunt_wire::JobId;
+use worksshunt_wire::{JobId, Revision};
 
-use crate::constants::{RETRY_AFTER_S, SUBMIT_PATIENCE_MS, TXN_BYTES, USER_QUEUE};
-use crate::jobs::{final_key, final_value, open_key, Job, OpenJob, Refusal};
+use crate::constants::{INTAKE_FROM, PAGES_AT_ONCE, RETRY_AFTER_S, SUBMIT_PATIENCE_MS, USER_QUEUE};
+use crate::jobs::{final_key, final_value, intake_value, open_key, Job, Mirror, Refusal};
+use crate::pages::page_bytes;
 use crate::time::Time;
 
 /// Names an open request of some client.
@@ -104,6 +106,8 @@
     pub id: JobId,
     /// What is wanted.
     pub question: Question,
+    /// It was seen on a page of jobs taken in together, and so is known.
+    pub taken_in: bool,
 }
 
 /// What follows from an ask.
@@ -115,6 +119,8 @@
     LookUpFinal(Ask),
     /// Write the cancellation.
     Withdraw(Ask, Txn),
+    /// Resolve it anew from a later mirror.
+    AskAgain(Ask),
     /// Try to accept it.
     Accept(RequestId, Box<Job>),
 }
@@ -122,47 +128,50 @@
 /// Done and running tasks for display.
 pub type Progress = BTreeMap<JobId, (u32, u32)>;
 
+/// The cancellation of a job whose key has that version; 0 if it has no key of its own yet.
+fn withdrawal(id: JobId, version: Revision) -> Txn {
+    let condition = |key: String, version| Condition { key, version };
+    let mut txn = Txn {
+        conditions: vec![
+            condition(open_key(id), version),
+            condition(final_key(id), Revision(0)),
+        ],
+        changes: vec![Change::Put {
+            key: final_key(id),
+            value: final_value(JobState::Cancelled),
+            hold: None,
+        }],
+    };
+    if version != Revision(0) {
+        txn.changes.push(Change::Delete { key: open_key(id) });
+    }
+    txn
+}
+
 /// Answers an ask from an up-to-date mirror.
-pub fn resolve(
-    ask: Ask,
-    open: Option<&OpenJob>,
-    known_final: Option<JobState>,
-    progress: &Progress,
-) -> Step {
-    if let Some(state) = known_final {
+pub fn resolve(mut ask: Ask, mirror: &Mirror, progress: &Progress) -> Step {
+    let id = ask.id;
+    if let Some(state) = mirror.final_state(id) {
         return Step::Answer(ask.request, settled(&ask, state));
     }
-    let Some(open) = open else {
+    let Some(open) = mirror.get(id) else {
+        ask.taken_in |= mirror.taken_in(id);
         return Step::LookUpFinal(ask);
     };
     match &ask.question {
         Question::Withdraw => {
-            let id = ask.id;
-            let txn = Txn {
-                conditions: vec![Condition {
-                    key: open_key(id),
-                    version: open.version,
-                }],
-                changes: vec![
-                    Change::Delete { key: open_key(id) },
-                    Change::Put {
-                        key: final_key(id),
-                        value: final_value(JobState::Cancelled),
-                        hold: None,
-                    },
-                ],
-            };
+            let txn = withdrawal(id, open.version);
             Step::Withdraw(ask, txn)
         }
         Question::Status | Question::Submit(_) | Question::Unacceptable(_) => {
-            let (done, running) = progress.get(&ask.id).copied().unwrap_or_default();
+            let (done, running) = progress.get(&id).copied().unwrap_or_default();
             let state = if running > 0 {
                 JobState::Running
             } else {
                 JobState::Pending
             };
             let status = JobStatus {
-                id: ask.id,
+                id,
                 state,
                 done: Some(done),
                 running: Some(running),
@@ -172,8 +181,24 @@
     }
 }
 
+/// Answers an ask about a job that has no final state. One that was taken in is pending, if it has
+/// no key of its own yet; otherwise the mirror has to be asked again.
+pub fn not_final(ask: Ask, mirror: &Mirror) -> Step {
+    let id = ask.id;
+    if !ask.taken_in {
+        return unknown(ask);
+    }
+    if mirror.get(id).is_some() || !mirror.taken_in(id) {
+        return Step::AskAgain(ask);
+    }
+    match ask.question {
+        Question::Withdraw => Step::Withdraw(ask, withdrawal(id, Revision(0))),
+        _ => Step::Answer(ask.request, Reply::state(200, id, JobState::Pending)),
+    }
+}
+
 /// Answers an ask about a job that is neither open nor final.
-pub fn unknown(ask: Ask) -> Step {
+fn unknown(ask: Ask) -> Step {
     match ask.question {
         Question::Status | Question::Withdraw => {
             Step::Answer(ask.request, Reply::error(404, "no such job"))
@@ -260,41 +285,90 @@
         overdue
     }
 
-    /// The next transaction that accepts jobs; none while one is under way. Each job is accepted
-    /// only if its id is neither open nor final.
-    pub fn accept_txn(&mut self, most: usize) -> Option<Txn> {
-        if !self.accepting.is_empty() {
-            return None;
-        }
+    /// Whether submissions wait and none is being written.
+    pub fn wants_accept(&self) -> bool {
+        !self.accepts.is_empty() && self.accepting.is_empty()
+    }
+
+    /// The next transaction that accepts jobs, with at most so many changes. Each job is accepted
+    /// only if its id is neither open nor final. Where many wait they share keys, named by
+    /// `intake`, so that a burst of submissions is no burst of changes.
+    pub fn accept_txn(
+        &mut self,
+        most: usize,
+        limits: &StateLimits,
+        mut intake: impl FnMut() -> Option<String>,
+    ) -> Option<Txn> {
+        let many = self.accepts.len() > INTAKE_FROM;
+        let jobs = if many {
+            limits.txn_ops * 2 - PAGES_AT_ONCE
+        } else {
+            most
+        };
         let mut txn = Txn::default();
-        let mut bytes = 0;
-        while txn.changes.len() < most {
+        let mut page: Vec<usize> = Vec::new();
+        let mut page_room = 0;
+        while self.accepting.len() < jobs {
             let Some((since, request, job)) = self.accepts.pop_front() else {
                 break;
             };
             let id = job.spec.id;
-            let key = open_key(id);
-            let twice = txn.changes.iter().any(|change| change.key() == key);
-            let value = serde_json::json!(job);
-            bytes += value.to_string().len() + 2 * key.len();
-            if twice || (bytes > TXN_BYTES && !txn.changes.is_empty()) {
+            let twice = self
+                .accepting
+                .iter()
+                .any(|(_, _, other)| other.spec.id == id);
+            let size = serde_json::to_string(&job).map_or(usize::MAX, |text| text.len() + 1);
+            if many && size > page_room && !twice {
+                self.close_intake(&mut txn, &mut page, &mut intake);
+                page_room = page_bytes(limits).max(size);
+            }
+            let full = txn.changes.len() + usize::from(many) > most.min(PAGES_AT_ONCE);
+            if twice || (many && full) {
                 self.accepts.push_front((since, request, job));
                 break;
             }
-            for key in [key.clone(), final_key(id)] {
+            page_room = page_room.saturating_sub(size);
+            for key in [open_key(id), final_key(id)] {
                 txn.conditions.push(Condition {
                     key,
-                    version: worksshunt_wire::Revision(0),
+                    version: Revision(0),
+                });
+            }
+            if many {
+                page.push(self.accepting.len());
+            } else {
+                txn.changes.push(Change::Put {
+                    key: open_key(id),
+                    value: serde_json::json!(job),
+                    hold: None,
                 });
             }
+            self.accepting.push((since, request, job));
+        }
+        self.close_intake(&mut txn, &mut page, &mut intake);
+        (!txn.changes.is_empty()).then_some(txn)
+    }
+
+    /// Adds the page of the jobs at these places of those being accepted.
+    fn close_intake(
+        &self,
+        txn: &mut Txn,
+        page: &mut Vec<usize>,
+        intake: &mut impl FnMut() -> Option<String>,
+    ) {
+        let places = std::mem::take(page);
+        let jobs: Vec<&Job> = places.iter().map(|i| &*self.accepting[*i].2).collect();
+        if let (false, Some(key)) = (jobs.is_empty(), intake()) {
+            txn.conditions.push(Condition {
+                key: key.clone(),
+                version: Revision(0),
+            });
             txn.changes.push(Change::Put {
                 key,
-                value,
+                value: intake_value(&jobs),
                 hold: None,
             });
-            self.accepting.push((since, request, job));
         }
-        (!txn.changes.is_empty()).then_some(txn)
     }
 
     /// The transaction under way is answered: these submissions were in it.
--- a/crates/worksshunt-core/tests/stories.rs
+++ b/crates/worksshunt-core/tests/stories.rs
@@ -506,6 +506,37 @@
     world.check();
 }
 
+// Guards against a burst of submissions that takes as many changes as jobs, and against a job that is
+// taken in twice, by two controllers, coming back after its end.
+#[test]
+fn a_burst_of_submissions_is_taken_in_together() {
+    let mut world = ready();
+    let before = world.revision();
+    let jobs: Vec<_> = (1..=40).map(|id| job(id, 1)).collect();
+    let replies = world.submit_at_once(&[0, 1], &jobs);
+    assert!(
+        replies.iter().all(|r| matches!(r.status, 200 | 201)),
+        "{replies:?}"
+    );
+    assert!(world.revision() - before < 30, "pages, not keys");
+    for node in 0..3 {
+        assert_eq!(world.state(node, 7), (200, "pending".into()));
+        assert_eq!(world.submit(node, &job(8, 1)).status, 200);
+    }
+    assert!(world.withdraw(2, 9).body.contains("aborted"));
+    world.until("all the others", 120_000, |w| {
+        (1..=40).all(|id| id == 9 || w.all_done(id, 1))
+    });
+    world.run(5_000);
+    for id in [1, 8, 40] {
+        assert_eq!(world.state(1, id), (200, "done".into()));
+    }
+    assert_eq!(world.state(1, 9), (200, "aborted".into()));
+    assert_eq!(world.starts.len(), 39);
+    assert!(world.keys("j/").is_empty(), "{:?}", world.keys("j/"));
+    world.check();
+}
+
 #[test]
 fn bad_submissions_are_told_what_is_wrong() {
     let mut world = ready();
--- a/crates/worksshunt-core/tests/world/mod.rs
+++ b/crates/worksshunt-core/tests/world/mod.rs
@@ -450,6 +450,46 @@
         reply
     }
 
+    /// Submits all these jobs to each of these controllers at one moment.
+    pub fn submit_at_once(&mut self, nodes: &[usize], jobs: &[Value]) -> Vec<Reply> {
+        let first = self.user_replies.len();
+        for job in jobs {
+            for node in nodes {
+                let slot = self.user_replies.len();
+                self.user_replies.push(None);
+                let request = self.request();
+                let life = self.nodes[*node].as_ref().expect("a controller").life;
+                let user = Waiting::User(slot);
+                self.waiting.insert((*node, life, request), user);
+                let body = job.to_string().into_bytes();
+                self.dispatch(*node, life, Event::Submit(request, body));
+            }
+            let spec: JobSpec = serde_json::from_value(job.clone()).expect("a job");
+            self.jobs.insert(spec.id, spec);
+        }
+        self.until("answers", 5_000, |w| {
+            w.user_replies[first..].iter().all(Option::is_some)
+        });
+        self.user_replies[first..]
+            .iter()
+            .flatten()
+            .cloned()
+            .collect()
+    }
+
+    /// The store's revision.
+    pub fn revision(&self) -> u64 {
+        self.store.revision
+    }
+
+    /// The store's keys that begin so.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let keys = self.store.keys.keys();
+        keys.filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
     /// A job's state as a controller tells it.
     pub fn state(&mut self, node: usize, id: u64) -> (u16, String) {
         let text = JobId(id).to_string();
