The fleet goes on across epochs, members join in the first moment, a line on the load

A controller whose control read was answered before its hold came waited a whole renewal before it wrote its member key, which made a second epoch.

--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -573,6 +573,27 @@
         self.former.found(key, version);
     }
 
+    /// Writes what is going on to the log.
+    pub fn log_load(&self) {
+        let usable = self.machines().filter(|view| view.up.usable);
+        let (machines, free) =
+            usable.fold((0, 0.0), |(n, free), view| (n + 1, free + view.room.cpus));
+        let waiting: u32 = self.jobs.values().map(Work::waiting).sum();
+        let stuck = self
+            .jobs
+            .values()
+            .filter(|w| w.stuck_since.is_some())
+            .count();
+        let in_phase = |phase| self.outs.values().filter(|o| o.phase == phase).count();
+        tracing::debug!(
+            jobs = self.jobs.len(), waiting, stuck, machines, free,
+            queued = in_phase(Phase::Queued), placed = in_phase(Phase::Placed),
+            running = in_phase(Phase::Running), completed = in_phase(Phase::Completed),
+            used = %self.quota, claims = self.claims.len(),
+            "load"
+        );
+    }
+
     // --- what the fleet asks --------------------------------------------------------------------
 
     /// Open jobs in order of service, with as many waiting tasks as the teams' limits let run.
--- a/crates/worksshunt-core/src/controller/epochs.rs
+++ b/crates/worksshunt-core/src/controller/epochs.rs
@@ -108,9 +108,6 @@
                 match reply {
                     StoreReply::Listing(listing) => {
                         self.control(t, sent, &listing, out);
-                        if self.membership.has_to_write_key() && !self.hold_turn.in_flight {
-                            self.hold_turn.next = t;
-                        }
                     }
                     _ => self.control_turn.next = t + STORE_RETRY_MS,
                 }
@@ -395,7 +392,10 @@
             let facts = &self.settings.facts;
             self.leader = Some(Leader {
                 allotment: Allotment::load(now, epoch.number, &names, facts, &self.mirror, &found),
-                fleet: Fleet::new(epoch.number, now, facts.cloud.list_lag_s),
+                fleet: match load.fleet {
+                    Some(fleet) if fleet.epoch() == just_before => fleet.carried_over(epoch.number),
+                    _ => Fleet::new(epoch.number, now, facts.cloud.list_lag_s),
+                },
             });
             tracing::info!(epoch = %epoch.number, members = names.len(), "leading");
         }
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -293,15 +293,17 @@
                     self.hold_turn.sent(now, STORE_RETRY_MS);
                     store(out, StoreTag::NewHold, StoreOp::NewHold);
                 }
-                (_, Some(hold)) => {
-                    if let Some(txn) = self.join_txn() {
+                (_, Some(_)) if self.membership.has_to_write_key() => {
+                    // Nothing to send before the key's version has been read.
+                    if let Some(txn) = self.membership.join_txn() {
                         self.hold_turn.sent(now, STORE_RETRY_MS);
                         store(out, StoreTag::Join, StoreOp::Txn(txn));
-                    } else {
-                        self.hold_turn.sent(now, RENEW_EVERY_MS);
-                        store(out, StoreTag::Renew(hold), StoreOp::Renew(hold));
                     }
                 }
+                (_, Some(hold)) => {
+                    self.hold_turn.sent(now, RENEW_EVERY_MS);
+                    store(out, StoreTag::Renew(hold), StoreOp::Renew(hold));
+                }
             }
         }
         if self.control_turn.due(now) {
@@ -310,14 +312,6 @@
         }
     }
 
-    fn join_txn(&mut self) -> Option<Txn> {
-        if self.membership.has_to_write_key() {
-            self.membership.join_txn()
-        } else {
-            None
-        }
-    }
-
     /// Steps back from owning machines while workers do not reach this controller, and offers itself
     /// again from time to time: nothing else could show that they would.
     fn reach_turn(&mut self, now: Time) {
@@ -362,6 +356,9 @@
             self.press_turn.next = t + PRESS_EVERY_MS;
             leader.allotment.claim(t);
             leader.allotment.preempt(now, budget);
+            if tracing::enabled!(tracing::Level::DEBUG) {
+                leader.allotment.log_load();
+            }
             // What time alone brings about: jobs that may be tried again, or have waited too long.
             leader.allotment.stir();
         }
--- a/crates/worksshunt-core/src/quota.rs
+++ b/crates/worksshunt-core/src/quota.rs
@@ -25,6 +25,17 @@
     used: BTreeMap<TeamName, Usage>,
 }
 
+/// Processors in use by team.
+impl std::fmt::Display for Quota {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for (i, (name, used)) in self.used.iter().enumerate() {
+            let gap = if i > 0 { " " } else { "" };
+            write!(f, "{gap}{name}:{:.1}", used.cpus)?;
+        }
+        Ok(())
+    }
+}
+
 impl Quota {
     /// No use yet of what the teams may have.
     pub fn new(teams: &[Team]) -> Quota {
--- a/crates/worksshunt-core/tests/stories.rs
+++ b/crates/worksshunt-core/tests/stories.rs
@@ -506,6 +506,25 @@
     world.check();
 }
 
+// Guards against a leader that forgets what it rented, and waits for the list, whenever a controller
+// joins or leaves.
+#[test]
+fn a_leader_goes_on_renting_when_another_controller_leaves() {
+    let mut world = ready();
+    let leader = world.leader();
+    world.list_lag_ms = 5_000;
+    world.submit(leader, &long_job(1, 8));
+    world.until("machines", 10_000, |w| w.workers.len() == 2);
+    world.crash((leader + 1) % 3);
+    world.run(6_000);
+    let others = (leader + 2) % 3;
+    world.submit(others, &long_job(2, 12));
+    world.until("more machines", 3_000, |w| w.workers.len() == 5);
+    world.run(10_000);
+    assert_eq!(world.workers.len(), 5, "and no more than that");
+    world.check();
+}
+
 // Guards against a burst of submissions that takes as many changes as jobs, and against a job that is
 // taken in twice, by two controllers, coming back after its end.
 #[test]
--- a/crates/worksshunt-core/tests/world/mod.rs
+++ b/crates/worksshunt-core/tests/world/mod.rs
@@ -279,6 +279,8 @@
     pub jobs: BTreeMap<JobId, JobSpec>,
     pub capacity: usize,
     pub run_ms: u64,
+    /// How long a machine is missing from the list.
+    pub list_lag_ms: u64,
     requests: u64,
     waiting: BTreeMap<(usize, u64, RequestId), Waiting>,
     user_replies: Vec<Option<Reply>>,
@@ -309,7 +311,7 @@
             ],
             "workers": {"report_s": 2.5, "lease_s": 16.0, "cancel_s": 30.0},
             "state": {"rps": 200.0, "write_rps": 40.0, "value_kb": 8.0, "txn_ops": 20},
-            "cloud": {"rps": 5.0, "list_lag_s": 1.0},
+            "cloud": {"rps": 5.0, "list_lag_s": 6.0},
             "limits": {"sockets": 1000}
         }
     }))
@@ -349,6 +351,7 @@
             jobs: BTreeMap::new(),
             capacity: 10,
             run_ms: 8_000,
+            list_lag_ms: 0,
             requests: 0,
             waiting: BTreeMap::new(),
             user_replies: Vec::new(),
@@ -766,6 +769,7 @@
                 machines: self
                     .workers
                     .iter()
+                    .filter(|(_, worker)| self.now >= worker.rented_at + self.list_lag_ms)
                     .map(|(id, worker)| ListedMachine {
                         id: id.clone(),
                         machine_type: "m4".into(),
