Pages shed the most stale entries first; done tasks take no quota when records are read

New entries went to the emptiest page, so full pages kept what was over, and an entry was reckoned at nearly twice its size.

Change: the page that most is dropped from takes the new entries; sizes are reckoned exactly; the attempt of a task that is done takes no quota at the start of an epoch.

--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -321,7 +321,14 @@
                 continue;
             };
             let mut out = Out::new(record.task, part.clone());
-            out.phase = Phase::Placed;
+            // Of a task that is done no other attempt was made, and this one uses nothing any more.
+            let done = self.jobs.get(&record.task.job);
+            let done = done.is_some_and(|work| work.done.contains(record.task.index));
+            out.phase = if done {
+                Phase::Completed
+            } else {
+                Phase::Placed
+            };
             out.machine = Some(record.machine.clone());
             self.insert_out(record.attempt, out);
             if let Some(work) = self.jobs.get_mut(&record.task.job) {
@@ -383,7 +390,7 @@
             out.job = Some(Rc::clone(&work.job));
             work.activate(out.task.index, attempt);
         }
-        if let Some(job) = &out.job {
+        if let (Some(job), true) = (&out.job, out.phase != Phase::Completed) {
             self.quota.take(job);
         }
         self.outs.insert(attempt, out);
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -93,6 +93,14 @@
 /// Bytes of a page left for its frame and for estimates of its entries that are too low.
 pub const PAGE_MARGIN_BYTES: usize = 512;
 
+/// One in so many parts of a page must be free for entries to go there: so that a write seldom needs
+/// two pages.
+pub const PAGE_ROOM: usize = 4;
+
+/// Entries that are merely no longer needed, for which one counts that would mislead after a crash: an
+/// attempt that was lost keeps its task from running until its machine's lease is over.
+pub const URGENT_ENTRIES: u32 = 16;
+
 /// Milliseconds a page may list what is no longer needed before it is written for that alone.
 pub const LAZY_PAGE_MS: u64 = 5_000;
 
--- a/crates/worksshunt-core/src/pages.rs
+++ b/crates/worksshunt-core/src/pages.rs
@@ -1,8 +1,8 @@
 //! Records kept many to a key.
 //!
 //! The state service counts changed keys, not bytes. So entries are gathered in pages, each one key
-//! of at most the state service's value limit. A write puts new entries on the emptiest page and
-//! drops what has become superfluous there, so it costs one change however many entries it brings.
+//! of at most the state service's value limit. A write puts new entries on a page and drops what
+//! has become superfluous there, so it costs one change however many entries it brings.
 //! A page left empty is removed.
 //!
 //! Only one process writes a set of pages in an epoch, one write at a time, each conditional on the
@@ -16,7 +16,9 @@
 use worksshunt_wire::state::{Change, Condition};
 use worksshunt_wire::Revision;
 
-use crate::constants::{LAZY_PAGE_MS, PAGES_AT_ONCE, PAGE_MARGIN_BYTES, TXN_BYTES};
+use crate::constants::{
+    LAZY_PAGE_MS, PAGES_AT_ONCE, PAGE_MARGIN_BYTES, PAGE_ROOM, TXN_BYTES, URGENT_ENTRIES,
+};
 use crate::time::Time;
 
 /// Bytes a page may take, so that it keeps the value limit and a write of several the transaction's.
@@ -57,6 +59,8 @@
     size: usize,
     /// When the stored page should be rewritten for entries that are no longer needed.
     rewrite_at: Option<Time>,
+    /// How much that would do: entries that are no longer needed, those that mislead many times over.
+    stale: u32,
 }
 
 /// One page to be written.
@@ -109,6 +113,7 @@
             entries,
             size,
             rewrite_at: None,
+            stale: 0,
         });
     }
 
@@ -131,6 +136,7 @@
             if let Some(entry) = page.entries.remove(key) {
                 page.size = page.size.saturating_sub(entry.size(key));
                 page.rewrite_at = Some(page.rewrite_at.map_or(at, |before| before.min(at)));
+                page.stale += if urgent { URGENT_ENTRIES } else { 1 };
             }
         }
     }
@@ -147,7 +153,7 @@
             return writes;
         }
         while writes.len() < most && !self.pending.is_empty() {
-            let index = self.emptiest();
+            let index = self.next_page();
             self.fill(index);
             writes.extend(self.begin(index));
         }
@@ -164,14 +170,16 @@
         writes
     }
 
-    /// The page that the next entries go to: the emptiest, if it is at most half full.
-    fn emptiest(&mut self) -> usize {
+    /// The page that the next entries go to: of those with room, the one that most will be dropped
+    /// from on the occasion.
+    fn next_page(&mut self) -> usize {
+        let room = |page: &Page<E>| page.size + self.bytes / PAGE_ROOM <= self.bytes;
         let best = self
             .pages
             .iter()
             .enumerate()
-            .filter(|(_, p)| matches!(p.state, PageState::Stored(_)) && p.size <= self.bytes / 2)
-            .min_by_key(|(_, page)| page.size)
+            .filter(|(_, page)| matches!(page.state, PageState::Stored(_)) && room(page))
+            .max_by_key(|(_, page)| (page.stale, std::cmp::Reverse(page.size)))
             .map(|(index, _)| index);
         best.unwrap_or_else(|| {
             let key = format!("{}{}", self.prefix, self.next);
@@ -210,6 +218,7 @@
         };
         page.state = PageState::Writing;
         page.rewrite_at = None;
+        page.stale = 0;
         let key = page.key.clone();
         let change = if page.entries.is_empty() {
             Change::Delete { key: key.clone() }
--- a/crates/worksshunt-core/src/records.rs
+++ b/crates/worksshunt-core/src/records.rs
@@ -47,8 +47,11 @@
     type Key = Attempt;
 
     fn size(&self, _: &Attempt) -> usize {
-        // Four values with their punctuation; numbers take at most 20 digits.
-        self.machine.0.len() + 72
+        let digits = |number: u64| number.checked_ilog10().unwrap_or(0) as usize + 1;
+        let task = digits(self.task.job.0).max(6) + digits(self.task.index.into()) + 3;
+        let numbers = digits(self.attempt.0) + digits(self.session.0);
+        // Two texts in quotes, two numbers, and what stands between them.
+        self.machine.0.len() + task + numbers + 10
     }
 
     fn join(&mut self, later: Recorded) {
@@ -95,3 +98,58 @@
         _ => Err(unknown()),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use worksshunt_wire::{JobId, Revision};
+
+    use super::*;
+
+    fn pair(value: Value) -> Pair {
+        Pair {
+            key: "a/i-000007".to_owned(),
+            value,
+            version: Revision(1),
+        }
+    }
+
+    #[test]
+    fn records_are_read_as_written_and_take_no_more_room_than_reckoned() {
+        let entries: BTreeMap<Attempt, Recorded> = (0..300u64)
+            .map(|n| {
+                let record = Recorded {
+                    machine: MachineId(format!("i-{n:06}")),
+                    task: TaskId {
+                        job: JobId(n * n * n),
+                        index: n as u32 * 300,
+                    },
+                    attempt: Attempt(n << 40),
+                    session: Session(n),
+                };
+                (record.attempt, record)
+            })
+            .collect();
+        let value = Recorded::value(&entries);
+        let size: usize = entries.iter().map(|(key, entry)| entry.size(key)).sum();
+        assert!(value.to_string().len() <= size + 32);
+        let read = read(&pair(value)).expect("records");
+        assert_eq!(read, entries.into_values().collect::<Vec<_>>());
+    }
+
+    // Guards against taking records of another version for empty ones, and running their tasks twice.
+    #[test]
+    fn records_of_the_first_release_are_understood_and_unknown_ones_named() {
+        let old = serde_json::json!([["j-000412/3", 16777217, 2]]);
+        let read_old = read(&pair(old)).expect("records");
+        assert_eq!(read_old[0].machine, "i-000007".into());
+        assert_eq!(read_old[0].attempt, Attempt(16_777_217));
+        let unknown = [
+            serde_json::json!({"v": 3, "on": []}),
+            serde_json::json!({"v": 2, "on": [["i-000001"]]}),
+            serde_json::json!("?"),
+        ];
+        for value in unknown {
+            assert_eq!(read(&pair(value)), Err(UnknownForm("a/i-000007".into())));
+        }
+    }
+}
