Processors needed are reckoned by team

Needs were summed up job by job, and a job's last tasks count as a fraction although the next job of the team takes their place; and jobs whose team was at its limit did not count at all. Ruled out before: losses during boots, overdue boots.

--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -628,7 +628,7 @@
             let waiting = work.waiting();
             let tasks = waiting.min(quota.admitted(&work.job));
             quota.take_many(&work.job, tasks);
-            if tasks + running > 0 {
+            if waiting + running > 0 {
                 let zone = match self.allowed_zones(&work.job) {
                     Some(zones) if zones.len() == 1 => zones.into_iter().next(),
                     _ => None,
--- a/crates/worksshunt-core/src/fleet.rs
+++ b/crates/worksshunt-core/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use worksshunt_wire::cloud::{Catalog, ListedMachine, ListedState, MachineNames, RentRequest};
 use worksshunt_wire::peer::MachineUp;
-use worksshunt_wire::{Epoch, MachineId};
+use worksshunt_wire::{Epoch, MachineId, TeamName};
 
 use crate::allotment::{Demand, MachineView};
 use crate::constants::{
@@ -310,7 +310,7 @@
         left: &[Demand],
         demand: &[Demand],
     ) -> Option<RentRequest> {
-        let needed: f64 = demand.iter().map(processors_needed).sum();
+        let needed = processors_needed(demand);
         let mut wanted: BTreeMap<Offer, f64> = BTreeMap::new();
         let mut in_zone: BTreeMap<&String, usize> = BTreeMap::new();
         for tracked in self.machines.values() {
@@ -537,11 +537,21 @@
     left
 }
 
-/// Processors that would get a job's tasks done in time, if each were done once its turn came.
-fn processors_needed(demand: &Demand) -> f64 {
-    let waiting_s = f64::from(demand.waiting) * demand.job.spec.estimate_s;
-    let at_once = f64::from(demand.tasks + demand.running);
-    demand.job.spec.cpus * at_once.min((waiting_s + demand.running_s) / demand.slack_s)
+/// Processors that would get all tasks done in time, if each job were done once its turn came. It is
+/// reckoned by team: where a job's last tasks end, the next job of its team takes their place.
+fn processors_needed(demand: &[Demand]) -> f64 {
+    let mut teams: BTreeMap<&TeamName, (f64, f64)> = BTreeMap::new();
+    for wanted in demand {
+        let cpus = wanted.job.spec.cpus;
+        let waiting_s = f64::from(wanted.waiting) * wanted.job.spec.estimate_s;
+        let (at_once, in_time) = teams.entry(&wanted.job.spec.team).or_default();
+        *at_once += cpus * f64::from(wanted.tasks + wanted.running);
+        *in_time += cpus * (waiting_s + wanted.running_s) / wanted.slack_s;
+    }
+    teams
+        .values()
+        .map(|(at_once, in_time)| at_once.min(*in_time))
+        .sum()
 }
 
 fn allows(job: &Job, zone: Option<&String>, offer: &Offer) -> bool {
