Stories of one-way networks, late copies, former lives, hidden questions and bursts

Two guards turned out to be one: a returned machine's newest report is noted once now. The world of the stories checks that no attempt's number is used twice, and can deliver copies of reports, make machines deaf and cut controllers from each other.

--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -363,9 +363,10 @@
     fn returned(&mut self, id: &MachineId, now: Time) {
         self.lose(id, now);
         self.speeds.remove(id);
-        self.sightings.note(id, (Session(u64::MAX), u64::MAX));
-        if let Some(machine) = self.machines.get_mut(id) {
-            machine.newest = (Session(u64::MAX), u64::MAX);
+        let last = (Session(u64::MAX), u64::MAX);
+        match self.machines.get_mut(id) {
+            Some(machine) => machine.newest = last,
+            None => self.sightings.note(id, last),
         }
     }
 
--- a/crates/worksshunt-core/tests/stories.rs
+++ b/crates/worksshunt-core/tests/stories/ordinary.rs
@@ -1,27 +1,12 @@
-//! Short stories about whole deployments on virtual time.
-
-mod world;
+//! What the service does day by day, and when controllers, machines or the state service fail.
 
 use serde_json::json;
 use worksshunt_core::controller::{Event, StoreReply};
 use worksshunt_core::placement::owner;
 use worksshunt_wire::{JobId, NodeName};
-use world::{job, World};
-
-/// A world in which an epoch has begun.
-fn ready() -> World {
-    let mut world = World::new();
-    world.until("an epoch", 5_000, |w| w.stored("c/epoch").is_some());
-    world.run(1_000);
-    world
-}
 
-/// A job of long tasks, for which machines enough for all of them are rented.
-fn long_job(id: u64, tasks: u32) -> serde_json::Value {
-    let mut job = job(id, tasks);
-    job["CalculoS"] = json!(60.0);
-    job
-}
+use crate::world::{job, World};
+use crate::{long_job, ready};
 
 #[test]
 fn a_job_runs_to_its_end_and_every_controller_says_so() {
--- /dev/null
+++ b/crates/worksshunt-core/tests/stories/troubles.rs
@@ -0,0 +1,312 @@
+//! What users check at a day's end: troubles in which messages pass one way only or come late,
+//! controllers come back at once, and load exceeds what there is.
+
+use std::collections::BTreeSet;
+
+use serde_json::json;
+use worksshunt_wire::{JobId, MachineId, TaskId};
+
+use crate::world::{job, World};
+use crate::{long_job, ready};
+
+fn starts_on(world: &World, id: &MachineId) -> usize {
+    world.starts.iter().filter(|s| s.2 == *id).count()
+}
+
+// Guards against machines that are heard, and therefore given tasks, while nothing reaches them.
+#[test]
+fn a_machine_that_is_heard_but_not_reached_gets_no_tasks_and_goes_back() {
+    let mut world = ready();
+    world.run_ms = 20_000;
+    world.submit(0, &long_job(1, 8));
+    world.until("tasks", 30_000, |w| w.running().len() == 8);
+    let deaf = world.starts[0].2.clone();
+    world.trouble.deaf.insert(deaf.clone());
+    world.run(20_000);
+    let before = world.launches_on(&deaf);
+    world.submit(1, &long_job(2, 24));
+    world.until("all tasks", 150_000, |w| {
+        w.all_done(1, 8) && w.all_done(2, 24)
+    });
+    assert_eq!(
+        world.launches_on(&deaf),
+        before,
+        "it was given nothing more"
+    );
+    let orders = world.orders_to(&deaf);
+    assert!(orders < 40, "probed, not hammered: {orders} orders");
+    world.until("its return", 90_000, |w| w.returned.contains(&deaf));
+    world.check();
+}
+
+// Guards against one that nothing was sent to meanwhile: only its sessions tell.
+#[test]
+fn an_idle_machine_whose_sessions_rise_gets_no_tasks() {
+    let mut world = ready();
+    let deaf = world.machine("a", true, 0);
+    world.run(4_000);
+    world.trouble.deaf.insert(deaf.clone());
+    world.run(18_500);
+    assert!(!world.returned.contains(&deaf), "not yet");
+    world.submit(0, &long_job(1, 8));
+    world.until("all tasks", 60_000, |w| w.all_done(1, 8));
+    assert_eq!(world.launches_on(&deaf), 0);
+    world.check();
+}
+
+#[test]
+fn a_machine_that_can_be_reached_again_serves_again() {
+    let mut world = ready();
+    world.run_ms = 4_000;
+    world.capacity = 1;
+    world.submit(0, &job(1, 60));
+    world.until("tasks", 30_000, |w| w.running().len() == 4);
+    let deaf = world.starts[0].2.clone();
+    world.trouble.deaf.insert(deaf.clone());
+    world.run(25_000);
+    world.trouble.deaf.clear();
+    let before = starts_on(&world, &deaf);
+    world.until("tasks on it again", 15_000, |w| {
+        starts_on(w, &deaf) > before
+    });
+    world.until("all tasks", 200_000, |w| w.all_done(1, 60));
+    world.check();
+}
+
+// Guards against every use of a report that a late copy could mislead: as a sign of life, as proof that
+// an attempt is gone, as a completion, as a machine to be used.
+#[test]
+fn late_copies_of_reports_change_nothing() {
+    let mut world = ready();
+    world.run_ms = 9_000;
+    world.trouble.copies_after_ms = vec![700, 6_000, 17_000, 40_000];
+    world.submit(0, &job(1, 40));
+    world.until("tasks", 30_000, |w| w.running().len() > 8);
+    let hung = world.starts[0].2.clone();
+    world.workers.get_mut(&hung).expect("a worker").hung = true;
+    world.run(8_000);
+    (0..3).for_each(|node| world.crash(node));
+    world.run(3_000);
+    (0..3).for_each(|node| world.start(node));
+    world.run(30_000);
+    if let Some(worker) = world.workers.get_mut(&hung) {
+        worker.hung = false;
+    }
+    let leader = world.leader();
+    world.crash(leader);
+    world.run(500);
+    world.start(leader);
+    world.until("all tasks", 200_000, |w| w.all_done(1, 40));
+    world.run(4_000);
+    assert_eq!(world.state(0, 1), (200, "done".into()));
+    world.until("an empty fleet", 120_000, |w| w.workers.is_empty());
+    world.run(60_000);
+    world.check();
+}
+
+// Guards against copies that keep a dead machine alive.
+#[test]
+fn a_late_copy_is_no_sign_of_life() {
+    let mut world = ready();
+    world.run_ms = 60_000;
+    world.trouble.copies_after_ms = vec![3_000, 9_000, 15_000, 21_000];
+    world.submit(0, &long_job(1, 8));
+    world.until("tasks", 30_000, |w| w.running().len() == 8);
+    let dead = world.starts[0].2.clone();
+    world.run(25_000);
+    world.workers.get_mut(&dead).expect("a worker").hung = true;
+    world.until("other starts", 30_000, |w| w.starts.len() > 8);
+    world.check();
+}
+
+// Guards against a machine long returned that is taken for capacity again, by its old owner or by one
+// that never heard of it.
+#[test]
+fn a_copy_from_a_machine_that_was_returned_brings_nothing_back() {
+    let mut world = ready();
+    world.submit(0, &job(1, 3));
+    world.until("tasks", 30_000, |w| !w.running().is_empty());
+    let id = world.starts[0].2.clone();
+    world.run(3_000);
+    let mut copy = world.report_of(&id);
+    // The last one it sent, which never arrived itself.
+    copy.seq += 1_000;
+    world.until("an empty fleet", 120_000, |w| w.workers.is_empty());
+    world.run(2_000);
+    let before = world.orders_to(&id);
+    for round in 0..2 {
+        for node in 0..3 {
+            world.deliver_copy(node, copy.clone());
+        }
+        world.run(500);
+        let job_id = 2 + round;
+        world.submit(0, &job(job_id, 20));
+        world.until("another job", 60_000, |w| w.all_done(job_id, 20));
+        assert_eq!(world.orders_to(&id), before, "nobody speaks to it");
+        (0..3).for_each(|node| world.crash(node));
+        (0..3).for_each(|node| world.start(node));
+        world.run(10_000);
+    }
+    world.check();
+}
+
+// Guards against a controller that goes on commanding workers when only they are left to it, and against
+// users who are sent to it.
+#[test]
+fn a_controller_left_with_its_workers_alone_gives_them_up() {
+    let mut world = ready();
+    world.run_ms = 60_000;
+    world.submit(0, &long_job(1, 24));
+    world.until("tasks", 30_000, |w| w.running().len() == 24);
+    world.run(3_000);
+    let (leader, epoch) = (world.leader(), world.epoch());
+    world.trouble.cut_from_state.insert(leader);
+    world.trouble.cut_from_peers.insert(leader);
+    world.run(7_000);
+    assert!(!world.healthy(leader), "users should not be sent there");
+    world.until("another leader", 10_000, |w| w.leader() != leader);
+    world.run(20_000);
+    world.trouble.cut_from_state.clear();
+    world.trouble.cut_from_peers.clear();
+    world.until("all tasks", 120_000, |w| w.all_done(1, 24));
+    assert_eq!(world.starts.len(), 24, "no lease ran out");
+    assert_eq!(
+        world.epoch(),
+        epoch + 2,
+        "one epoch without it, one with it again"
+    );
+    world.check();
+}
+
+#[test]
+fn nothing_is_lost_when_all_controllers_are_left_with_their_workers() {
+    let mut world = ready();
+    world.run_ms = 30_000;
+    world.submit(0, &long_job(1, 12));
+    world.until("tasks", 30_000, |w| w.running().len() == 12);
+    world.trouble.cut_from_state = (0..3).collect();
+    world.trouble.cut_from_peers = (0..3).collect();
+    world.run(30_000);
+    world.trouble.cut_from_state.clear();
+    world.trouble.cut_from_peers.clear();
+    world.until("all tasks", 120_000, |w| w.all_done(1, 12));
+    world.run(3_000);
+    assert_eq!(world.state(2, 1), (200, "done".into()));
+    world.check();
+}
+
+// Guards against former lives that are taken for present ones: holds still alive, names used again.
+#[test]
+fn controllers_back_within_a_moment_share_one_leader_and_repeat_no_number() {
+    let mut world = ready();
+    world.run_ms = 30_000;
+    world.submit(0, &long_job(1, 16));
+    world.until("tasks", 30_000, |w| w.running().len() == 16);
+    for round in 0..4 {
+        let leader = world.leader();
+        world.trouble.hold_txns.insert(leader);
+        world.run(300);
+        world.crash(leader);
+        world.run(200);
+        world.trouble.hold_txns.clear();
+        world.start(leader);
+        world.run(400);
+        // In the middle of the election that follows, another goes, or all; and late copies of what
+        // the former life had sent arrive.
+        world.crash((leader + 1) % 3);
+        world.start((leader + 1) % 3);
+        if round % 2 == 1 {
+            (0..3).for_each(|node| world.crash(node));
+            (0..3).for_each(|node| world.start(node));
+        }
+        world.release_txns();
+        world.run(7_000);
+        let members = &world.stored("c/epoch").expect("an epoch")["members"];
+        assert_eq!(members.as_array().map(Vec::len), Some(3), "all are back");
+    }
+    world.until("all tasks", 200_000, |w| w.all_done(1, 16));
+    assert_eq!(world.starts.len(), 16, "no lease ran out");
+    world.check();
+}
+
+// Guards against a late copy of a former life's joining that undoes the present one's.
+#[test]
+fn a_late_message_of_a_former_life_costs_no_epoch() {
+    let mut world = ready();
+    let other = (world.leader() + 1) % 3;
+    world.crash(other);
+    world.run(8_000);
+    world.trouble.hold_txns.insert(other);
+    world.start(other);
+    world.run(400);
+    world.crash(other);
+    world.trouble.hold_txns.clear();
+    world.start(other);
+    world.until("its epoch", 3_000, |w| {
+        let members = &w.stored("c/epoch").expect("an epoch")["members"];
+        members.as_array().map(Vec::len) == Some(3)
+    });
+    let epoch = world.epoch();
+    assert!(!world.release_txns().is_empty(), "something was held back");
+    world.run(10_000);
+    assert_eq!(world.epoch(), epoch);
+}
+
+// Guards against questions that lose to others every time: whoever came first used up the share of
+// reads, so with the same order of polls some job was never answered for.
+#[test]
+fn every_old_job_is_answered_for_although_questions_exceed_the_share() {
+    let mut world = ready();
+    let ids: Vec<u64> = (1..=900).collect();
+    ids.iter().for_each(|id| world.put_final(*id));
+    (0..3).for_each(|node| world.crash(node));
+    (0..3).for_each(|node| world.start(node));
+    world.run(5_000);
+    let begun = world.now;
+    let mut answered = BTreeSet::new();
+    while answered.len() < ids.len() {
+        assert!(world.now < begun + 45_000, "{} answered", answered.len());
+        answered.extend(world.answered_questions(1, &ids));
+        world.run(3_000);
+    }
+}
+
+// Guards against work of low priority, and its largest jobs, that never begin under a burst.
+#[test]
+fn the_largest_job_of_the_lowest_class_begins_in_time_under_a_burst() {
+    let mut world = ready();
+    world.capacity = 2;
+    world.run_ms = 5_000;
+    let mut large = job(1, 200);
+    large["Turno"] = json!("low");
+    large["EntregaS"] = json!(5_000.0);
+    let urgent = |id: u64| {
+        let mut urgent = job(id, 40);
+        urgent["Turno"] = json!("urgent");
+        urgent["EntregaS"] = json!(20.0);
+        urgent
+    };
+    world.submit(0, &urgent(2));
+    world.submit(1, &large);
+    let submitted = world.now;
+    let began = |w: &World| w.starts.iter().any(|s| s.1.job == JobId(1));
+    for id in 3.. {
+        if began(&world) {
+            break;
+        }
+        assert!(world.now < submitted + 240_000, "four minutes are over");
+        world.submit(id as usize % 3, &urgent(id));
+        world.run(8_000);
+    }
+    let first = TaskId {
+        job: JobId(1),
+        index: 0,
+    };
+    assert!(
+        world.starts.iter().any(|s| s.1 == first),
+        "with some of its tasks"
+    );
+    let urgent = world.starts.iter().filter(|s| s.1.job != JobId(1)).count();
+    assert!(urgent > 80, "the urgent work went on");
+    world.check();
+}
--- a/crates/worksshunt-core/tests/world/mod.rs
+++ b/crates/worksshunt-core/tests/stories/world/mod.rs
@@ -217,6 +217,7 @@
     Orders(usize, u64, DirectOrders),
     Worker(MachineId),
     ReportArrives(usize, MachineId, Report, u64),
+    CopyArrives(usize, Report),
     AnswerArrives(MachineId, u64, u64, u64, Reply),
 }
 
@@ -264,6 +265,12 @@
     pub faulty: BTreeSet<MachineId>,
     /// The cloud does not answer.
     pub cloud_down: bool,
+    /// Controllers that no other controller reaches, nor they any.
+    pub cut_from_peers: BTreeSet<usize>,
+    /// Machines whose reports arrive while answers and orders do not reach them.
+    pub deaf: BTreeSet<MachineId>,
+    /// Every report is delivered once more after each of these times, to every controller.
+    pub copies_after_ms: Vec<u64>,
 }
 
 pub struct World {
@@ -294,6 +301,9 @@
     completed: BTreeSet<TaskId>,
     pub returned: Vec<MachineId>,
     rentals: BTreeMap<String, MachineNames>,
+    /// Every attempt launched, with its task and machine.
+    launched: BTreeMap<Attempt, (TaskId, MachineId)>,
+    orders_sent: Vec<MachineId>,
     machines_made: u64,
 }
 
@@ -363,6 +373,8 @@
             completed: BTreeSet::new(),
             returned: Vec::new(),
             rentals: BTreeMap::new(),
+            launched: BTreeMap::new(),
+            orders_sent: Vec::new(),
             machines_made: 0,
         };
         for node in 0..3 {
@@ -480,6 +492,75 @@
             .collect()
     }
 
+    /// Delivers a report to a controller once more.
+    pub fn deliver_copy(&mut self, node: usize, report: Report) {
+        self.at(self.now, Happening::CopyArrives(node, report));
+        self.run(10);
+    }
+
+    /// A machine's report as it would be now.
+    pub fn report_of(&mut self, id: &MachineId) -> Report {
+        Self::report(id, self.workers.get_mut(id).expect("a worker"))
+    }
+
+    /// Puts a final state into the store, as of a job long over.
+    pub fn put_final(&mut self, id: u64) {
+        let value = json!({ "state": "done" });
+        let change = Change::Put {
+            key: format!("f/{}", JobId(id)),
+            value,
+            hold: None,
+        };
+        let txn = Txn {
+            conditions: Vec::new(),
+            changes: vec![change],
+        };
+        self.store.apply(self.now, &StoreOp::Txn(txn));
+    }
+
+    /// The epoch's number by the store's word.
+    pub fn epoch(&self) -> u64 {
+        self.stored("c/epoch")
+            .and_then(|e| e["number"].as_u64())
+            .unwrap_or(0)
+    }
+
+    /// Asks a controller about jobs at one moment and counts those it answers with 200 at once or
+    /// soon after.
+    pub fn answered_questions(&mut self, node: usize, ids: &[u64]) -> BTreeSet<u64> {
+        let first = self.user_replies.len();
+        for id in ids {
+            let slot = self.user_replies.len();
+            self.user_replies.push(None);
+            let request = self.request();
+            let life = self.nodes[node].as_ref().expect("a controller").life;
+            self.waiting
+                .insert((node, life, request), Waiting::User(slot));
+            let text = JobId(*id).to_string();
+            self.dispatch(node, life, Event::Status(request, text));
+        }
+        self.run(2_000);
+        let replies = self.user_replies[first..].iter().zip(ids);
+        let answered = |reply: &Option<Reply>| reply.as_ref().is_some_and(|r| r.status == 200);
+        replies
+            .filter(|(reply, _)| answered(reply))
+            .map(|(_, id)| *id)
+            .collect()
+    }
+
+    /// How many attempts were launched on a machine, whether or not it heard of them.
+    pub fn launches_on(&self, id: &MachineId) -> usize {
+        self.launched
+            .values()
+            .filter(|launch| launch.1 == *id)
+            .count()
+    }
+
+    /// How many direct orders were sent to a machine.
+    pub fn orders_to(&self, id: &MachineId) -> usize {
+        self.orders_sent.iter().filter(|to| *to == id).count()
+    }
+
     /// The store's revision.
     pub fn revision(&self) -> u64 {
         self.store.revision
@@ -640,7 +721,10 @@
                 self.at(self.now + HOP_MS, Happening::Dispatch(node, life, event));
             }
             Happening::PeerAsk(node, life, to, id, request) => {
-                let Some(to_life) = self.nodes[to].as_ref().map(|n| n.life) else {
+                let cut = &self.trouble.cut_from_peers;
+                let reached = !cut.contains(&node) && !cut.contains(&to);
+                let to_life = self.nodes[to].as_ref().map(|n| n.life);
+                let Some(to_life) = to_life.filter(|_| reached) else {
                     if let PeerRequest::Sync(_) = request {
                         let event = Box::new(Event::PeerAnswer(None));
                         let when = self.now + SYNC_DEADLINE_MS;
@@ -664,6 +748,7 @@
                 }
             }
             Happening::Orders(node, life, orders) => {
+                self.orders_sent.push(orders.machine.clone());
                 let reply = if self.trouble.cut_from_workers.contains(&node) {
                     OrdersReply::Unknown
                 } else if self.trouble.hold_orders {
@@ -695,6 +780,13 @@
                 let body = serde_json::to_vec(&report).expect("JSON");
                 self.dispatch(node, life, Event::Report(request, body));
             }
+            Happening::CopyArrives(node, report) => {
+                if let Some(life) = self.nodes[node].as_ref().map(|n| n.life) {
+                    let request = self.request();
+                    let body = serde_json::to_vec(&report).expect("JSON");
+                    self.dispatch(node, life, Event::Report(request, body));
+                }
+            }
             Happening::AnswerArrives(id, session, seq, sent, reply) => {
                 self.answered(&id, session, seq, sent, &reply);
             }
@@ -885,6 +977,12 @@
             worker.next_report = now + REPORT_MS;
             let node = worker.node;
             let report = Self::report(id, worker);
+            for after in self.trouble.copies_after_ms.clone() {
+                for node in 0..3 {
+                    let copy = Happening::CopyArrives(node, report.clone());
+                    self.at(now + after, copy);
+                }
+            }
             let what = Happening::ReportArrives(node, id.clone(), report, now);
             self.at(now + HOP_MS, what);
         }
@@ -929,6 +1027,9 @@
     }
 
     fn answered(&mut self, id: &MachineId, session: u64, seq: u64, sent: u64, reply: &Reply) {
+        if let Ok(answer) = serde_json::from_str::<ReportAnswer>(&reply.body) {
+            self.note_launches(id, &answer.commands);
+        }
         let now = self.now;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -936,6 +1037,11 @@
         if worker.session != session || worker.seq < seq || worker.hung {
             return;
         }
+        if self.trouble.deaf.contains(id) {
+            // The answer is lost; the worker gives up on it after a while.
+            worker.reporting = false;
+            return;
+        }
         worker.reporting = false;
         match reply.status {
             200 => {
@@ -962,7 +1068,26 @@
         }
     }
 
+    /// Checks that no attempt's number is used for another task or on another machine.
+    fn note_launches(&mut self, id: &MachineId, commands: &[Command]) {
+        for command in commands {
+            let Command::Launch { task, attempt } = command else {
+                continue;
+            };
+            let launch = (*task, id.clone());
+            let first = self.launched.entry(*attempt).or_insert(launch.clone());
+            if *first != launch {
+                let text = format!("attempt {attempt} of {first:?} used again for {launch:?}");
+                self.broken.push(text);
+            }
+        }
+    }
+
     fn execute_orders(&mut self, orders: &DirectOrders) -> Option<Report> {
+        self.note_launches(&orders.machine, &orders.orders.commands);
+        if self.trouble.deaf.contains(&orders.machine) {
+            return None;
+        }
         let worker = self.workers.get_mut(&orders.machine)?;
         if worker.hung {
             return None;
