--- a/crates/worksshunt-core/tests/stories/troubles.rs
+++ b/crates/worksshunt-core/tests/stories/troubles.rs
@@ -131,6 +131,7 @@
     let mut copy = world.report_of(&id);
     // The last one it sent, which never arrived itself.
     copy.seq += 1_000;
+    copy.tasks.clear();
     world.until("an empty fleet", 120_000, |w| w.workers.is_empty());
     world.run(2_000);
     let before = world.orders_to(&id);
@@ -140,8 +141,9 @@
         }
         world.run(500);
         let job_id = 2 + round;
-        world.submit(0, &job(job_id, 20));
-        world.until("another job", 60_000, |w| w.all_done(job_id, 20));
+        let tasks = 20 + 20 * round as u32;
+        world.submit(0, &job(job_id, tasks));
+        world.until("another job", 60_000, |w| w.all_done(job_id, tasks));
         assert_eq!(world.orders_to(&id), before, "nobody speaks to it");
         (0..3).for_each(|node| world.crash(node));
         (0..3).for_each(|node| world.start(node));
