Claims for wide tasks scale with the fleet and take machines half free first

A machine half free was left out because the next task to end would leave room, but narrower tasks took the free half first. Four claims are few for 560 machines.

Change: a machine is left out only if its next task to end frees what the waiting one needs; the freest come first; one in sixteen machines may be claimed, several for a job.

--- a/crates/worksshunt-core/src/allotment/claims.rs
+++ b/crates/worksshunt-core/src/allotment/claims.rs
@@ -5,10 +5,10 @@
 use std::rc::Rc;
 
 use serde_json::Value;
-use worksshunt_wire::peer::Phase;
+use worksshunt_wire::peer::{MachineUp, Phase};
 use worksshunt_wire::{JobId, MachineId};
 
-use crate::constants::{CLAIMS_AT_ONCE, CLAIM_AFTER_MS};
+use crate::constants::{CLAIMS_AT_ONCE, CLAIMS_SHARE, CLAIM_AFTER_MS};
 use crate::jobs::Job;
 use crate::time::Time;
 
@@ -43,7 +43,8 @@
     /// takes them out of their parts until the task fits.
     pub fn claim(&mut self, now: Time) {
         self.release_idle_claims();
-        let mut free_claims = CLAIMS_AT_ONCE.saturating_sub(self.claims.len());
+        let most = CLAIMS_AT_ONCE.max(self.machines().count() / CLAIMS_SHARE);
+        let mut free_claims = most.saturating_sub(self.claims.len());
         let stuck: Vec<Rc<Job>> = self
             .jobs
             .values()
@@ -65,23 +66,24 @@
         }
         let mut chosen: Vec<(MachineId, JobId)> = Vec::new();
         for job in stuck {
-            if free_claims == 0 {
-                break;
-            }
-            if self.claims.values().any(|c| c.job == job.spec.id) || !self.quota.admits(&job) {
-                continue;
-            }
+            let id = job.spec.id;
+            let waiting = self.jobs.get(&id).map_or(0, |work| work.waiting());
+            let wanted = waiting.min(self.quota.admitted(&job)) as usize;
+            let held = self.claims.values().filter(|c| c.job == id).count();
+            let more = wanted.saturating_sub(held).min(free_claims);
             let zones = self.allowed_zones(&job);
             // Only a task that needs more than the next task to end will leave has to be helped;
-            // the rest find room by themselves.
-            let best = self
+            // the rest find room by themselves. Even where room is left beside that, narrower tasks
+            // would take it first.
+            let mut machines: Vec<&MachineUp> = self
                 .machines()
                 .map(|view| &view.up)
                 .filter(|m| {
                     let next = narrowest.get(&m.id).copied().unwrap_or(0.0);
                     m.usable
                         && !m.noticed
-                        && m.cpus + next < job.spec.cpus
+                        && m.cpus < job.spec.cpus
+                        && next < job.spec.cpus
                         && !self.claims.contains_key(&m.id)
                         && !chosen.iter().any(|(id, _)| *id == m.id)
                         // A former leader's claim has to go first.
@@ -89,12 +91,10 @@
                         && job.allows(&m.machine_type, &m.zone, m.spot)
                         && zones.as_ref().is_none_or(|zones| zones.contains(&m.zone))
                 })
-                .max_by(|a, b| a.cpus.total_cmp(&b.cpus).then(b.id.cmp(&a.id)))
-                .map(|m| m.id.clone());
-            if let Some(machine) = best {
-                chosen.push((machine, job.spec.id));
-                free_claims -= 1;
-            }
+                .collect();
+            machines.sort_by(|a, b| b.cpus.total_cmp(&a.cpus).then(a.id.cmp(&b.id)));
+            chosen.extend(machines.iter().take(more).map(|m| (m.id.clone(), id)));
+            free_claims = free_claims.saturating_sub(machines.len().min(more));
         }
         for (machine, job) in chosen {
             tracing::debug!(%job, %machine, "claiming a machine");
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -212,9 +212,13 @@
 /// Milliseconds a task waits without any part having room before the leader claims a machine.
 pub const CLAIM_AFTER_MS: u64 = 3_000;
 
-/// Claims the leader holds at a time: enough to unblock wide tasks, few enough not to idle a fleet.
+/// Claims the leader may hold at a time on a small fleet: enough to unblock wide tasks, few enough not
+/// to idle it ...
 pub const CLAIMS_AT_ONCE: usize = 4;
 
+/// ... and on a large one, one in so many of its machines.
+pub const CLAIMS_SHARE: usize = 16;
+
 /// Milliseconds a task waits without any part having room before others are stopped for it. On a
 /// busy fleet a task ends every second or so, which costs nothing.
 pub const PREEMPT_AFTER_MS: u64 = 3_000;
