--- a/crates/worksshunt-core/src/allotment/handout.rs
+++ b/crates/worksshunt-core/src/allotment/handout.rs
@@ -140,7 +140,7 @@
         while most > 0 {
             // Each task of such a job decides where the next may go.
             let at_once = if job.zones_matter() { 1 } else { most };
-            let places = self.places(&job, at_once);
+            let places = self.places(now.steady, &job, at_once);
             let found = places.len() as u32;
             for place in places {
                 self.hand_out_to(now.steady, &job, place);
@@ -179,7 +179,7 @@
     }
 
     /// Places for so many tasks of a job, as many as there are.
-    fn places(&self, job: &Job, most: u32) -> Vec<Place> {
+    fn places(&self, now: Time, job: &Job, most: u32) -> Vec<Place> {
         let zones = self.allowed_zones(job);
         let mut places: Vec<Place> = Vec::new();
         if let Some(place) = self.claimed_with_room(job, zones.as_ref()) {
@@ -189,6 +189,7 @@
         let mut shelves: Vec<Shelf> = self
             .parts
             .iter()
+            .filter(|(_, part)| part.speaks(now))
             .map(|(name, part)| self.shelf(name, part, job, zones.as_ref()))
             .collect();
         while (places.len() as u32) < most {
--- a/crates/worksshunt-core/src/allotment/parts.rs
+++ b/crates/worksshunt-core/src/allotment/parts.rs
@@ -6,7 +6,7 @@
 use worksshunt_wire::peer::{End, Give, MachineUp, Phase, SyncDown, SyncUp, Wishes};
 use worksshunt_wire::{Attempt, MachineId, NodeName};
 
-use crate::constants::{PROGRESS_EVERY_MS, ROUNDING};
+use crate::constants::{PART_SILENT_MS, PROGRESS_EVERY_MS, ROUNDING};
 use crate::jobs::Job;
 use crate::placement::Room;
 use crate::time::Time;
@@ -60,6 +60,8 @@
     number: u64,
     /// Number of the last answer its owner has acted on.
     seen: u64,
+    /// When its owner was last heard.
+    heard: Time,
     pub machines: BTreeMap<MachineId, MachineView>,
     /// Machines with room.
     pub open: BTreeSet<MachineId>,
@@ -75,6 +77,11 @@
         self.outbox.push((UNSENT, down));
     }
 
+    /// Whether its owner speaks with the leader.
+    pub fn speaks(&self, now: Time) -> bool {
+        now.since(self.heard) < PART_SILENT_MS
+    }
+
     /// Takes a task's room out of a machine.
     pub fn reserve(&mut self, id: &MachineId, job: &Job) {
         self.adjust(id, |view| view.reserved.give_back(&Room::of_job(job)));
@@ -135,6 +142,7 @@
         }
         part.number = up.number;
         part.seen = up.seen;
+        part.heard = now;
         part.outbox
             .retain(|(sent, _)| *sent == UNSENT || *sent > up.seen);
         for ended in &up.ended {
@@ -172,6 +180,24 @@
         self.round.stir();
     }
 
+    /// Takes back what was handed to parts whose owners do not speak with the leader and was never
+    /// told them, for the others to do.
+    pub fn take_back(&mut self, now: Time) {
+        let mut untold = Vec::new();
+        for part in self.parts.values_mut().filter(|part| !part.speaks(now)) {
+            part.outbox.retain(|message| match message {
+                (UNSENT, Down::Give(attempt)) => {
+                    untold.push(*attempt);
+                    false
+                }
+                _ => true,
+            });
+        }
+        for attempt in untold {
+            self.remove_out(attempt, End::HandedBack, now);
+        }
+    }
+
     /// Its owner has chosen a machine for an attempt.
     fn placed(&mut self, attempt: Attempt, machine: &MachineId) {
         let Some(out) = self.outs.get_mut(&attempt) else {
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -44,6 +44,10 @@
 /// workers' reports, which come every half second at most.
 pub const SYNC_PRESSING_MS: u64 = 100;
 
+/// Milliseconds without a message from a part's owner after which it is handed nothing: two exchanges
+/// and a deadline.
+pub const PART_SILENT_MS: u64 = 2_000;
+
 /// Milliseconds between two tellings of jobs' progress to a part's owner. Users see it in answers to
 /// polls 5 s apart.
 pub const PROGRESS_EVERY_MS: u64 = 1_000;
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -354,6 +354,7 @@
         };
         if self.press_turn.due(t) && leader.allotment.all_heard() {
             self.press_turn.next = t + PRESS_EVERY_MS;
+            leader.allotment.take_back(t);
             leader.allotment.claim(t);
             leader.allotment.preempt(now, budget);
             if tracing::enabled!(tracing::Level::DEBUG) {
--- a/crates/worksshunt-core/tests/stories/troubles.rs
+++ b/crates/worksshunt-core/tests/stories/troubles.rs
@@ -180,6 +180,25 @@
     world.check();
 }
 
+// Guards against tasks that wait for an owner the leader cannot speak with, while others have room.
+#[test]
+fn tasks_go_where_the_leader_is_heard() {
+    let mut world = ready();
+    let leader = world.leader();
+    world.run_ms = 2_000;
+    for _ in 0..9 {
+        world.machine("a", true, 0);
+    }
+    world.run(4_000);
+    world.trouble.cut_from_peers = (0..3).filter(|node| *node != leader).collect();
+    world.run(1_000);
+    world.submit(leader, &job(1, 36));
+    world.until("all tasks", 20_000, |w| w.all_done(1, 36));
+    world.trouble.cut_from_peers.clear();
+    world.run(10_000);
+    world.check();
+}
+
 #[test]
 fn nothing_is_lost_when_all_controllers_are_left_with_their_workers() {
     let mut world = ready();
