The story of the leader that is alone heard: machines are known before the cut

As committed before it passed without its guards, since the other parts had not described themselves yet. Now it fails without either of them.

--- a/crates/worksshunt-core/tests/stories/troubles.rs
+++ b/crates/worksshunt-core/tests/stories/troubles.rs
@@ -189,7 +189,7 @@
     for _ in 0..9 {
         world.machine("a", true, 0);
     }
-    world.run(4_000);
+    world.run(10_000);
     world.trouble.cut_from_peers = (0..3).filter(|node| *node != leader).collect();
     world.run(1_000);
     world.submit(leader, &job(1, 36));
