--- a/crates/worksshunt-core/src/allotment/handout.rs
+++ b/crates/worksshunt-core/src/allotment/handout.rs
@@ -143,7 +143,7 @@
             let places = self.places(now.steady, &job, at_once);
             let found = places.len() as u32;
             for place in places {
-                self.hand_out_to(now.steady, &job, place);
+                self.hand_out_to(now, &job, place);
             }
             if found < at_once {
                 if let Some(work) = self.jobs.get_mut(&id) {
@@ -155,7 +155,7 @@
         }
     }
 
-    fn hand_out_to(&mut self, now: Time, job: &Job, place: Place) {
+    fn hand_out_to(&mut self, now: Now, job: &Job, place: Place) {
         let id = job.spec.id;
         let Some(work) = self.jobs.get_mut(&id) else {
             return;
@@ -163,8 +163,11 @@
         let Some(index) = work.next_waiting() else {
             return;
         };
+        if work.served.replace(now.steady).is_none() {
+            let waited_ms = now.wall_ms.saturating_sub(job.accepted_ms);
+            tracing::debug!(job = %id, tasks = job.spec.tasks, class = job.spec.class, waited_ms, "begins");
+        }
         work.stuck_since = None;
-        work.served = Some(now);
         self.attempts += 1;
         let attempt = Attempt(self.epoch.0 * ATTEMPTS_PER_EPOCH + self.attempts);
         let mut out = Out::new(TaskId { job: id, index }, place.part.clone());
--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -228,8 +228,10 @@
 /// What a new leader finds in the store.
 #[derive(Debug, Default)]
 pub struct Found {
-    /// Pages of machines' records, with their versions.
+    /// Pages of machines' records.
     pub records: Vec<(Pair, Vec<Recorded>)>,
+    /// Keys of those among them that list more than that.
+    pub stale: BTreeSet<String>,
     /// Pages of completions.
     pub done: Vec<Pair>,
     /// Claims.
@@ -272,6 +274,9 @@
         for (pair, records) in &found.records {
             this.load_records(now, pair, records, members);
         }
+        for key in &found.stale {
+            this.former.rewrite(key, now);
+        }
         // Claims of former leaders lapse.
         for pair in &found.claims {
             this.due.insert(Due::Remove(pair.key.clone()));
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -154,6 +154,9 @@
 /// Bytes of a request body (protocol).
 pub const BODY_BYTES: usize = 64 * 1024;
 
+/// Bytes of a machine's name: half of a key of the state service (protocol).
+pub const NAME_BYTES: usize = 100;
+
 /// Bytes by which a stored job is longer than its description: the frame around it and the time of
 /// acceptance, rounded up.
 pub const JOB_FRAME_BYTES: usize = 256;
--- a/crates/worksshunt-core/src/controller/epochs.rs
+++ b/crates/worksshunt-core/src/controller/epochs.rs
@@ -356,7 +356,7 @@
             Ok((pair, records))
         };
         let pages: Result<Vec<_>, UnknownForm> = load.records.drain(..).map(read).collect();
-        let pages = match pages {
+        let mut pages = match pages {
             Ok(pages) => pages,
             Err(error) => {
                 // Acting without knowing what may run would run tasks twice.
@@ -365,6 +365,7 @@
                 return;
             }
         };
+        let stale = records::keep_latest(&mut pages);
         let names = epoch.owners();
         let me = self.membership.me();
         let just_before = Epoch(epoch.number.0 - 1);
@@ -386,6 +387,7 @@
         if self.membership.leads() {
             let found = Found {
                 records: pages,
+                stale,
                 done: load.done,
                 claims: load.claims,
             };
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -60,6 +60,8 @@
     /// which they were asked for.
     to_learn: VecDeque<JobId>,
     learning: BTreeSet<JobId>,
+    /// A report that could not be read was logged.
+    odd_report_logged: bool,
     reads: Bucket,
     store_heard: Time,
     doubt_turn: Periodic,
@@ -110,6 +112,7 @@
             intake_pages: 0,
             to_learn: VecDeque::new(),
             learning: BTreeSet::new(),
+            odd_report_logged: false,
             reads: Bucket::new(read_rate, read_rate.max(1.0)),
             store_heard: Time::default(),
             doubt_turn: Periodic::default(),
--- a/crates/worksshunt-core/src/controller/requests.rs
+++ b/crates/worksshunt-core/src/controller/requests.rs
@@ -261,9 +261,17 @@
     }
 
     pub(super) fn report(&mut self, now: Time, body: &[u8]) -> Reply {
-        let report: Report = match serde_json::from_slice(body) {
-            Ok(report) => report,
-            Err(error) => return Reply::error(400, &error.to_string()),
+        let report: Report = match serde_json::from_slice(body).map_err(|e| e.to_string()) {
+            Ok(report) if is_name(&report) => report,
+            odd => {
+                let error = odd
+                    .err()
+                    .unwrap_or_else(|| "not a machine's name".to_owned());
+                if !std::mem::replace(&mut self.odd_report_logged, true) {
+                    tracing::warn!(error, "odd report; further ones are not logged");
+                }
+                return Reply::error(400, &error);
+            }
         };
         let names = self.membership.epoch().map(|epoch| epoch.owners());
         let names = names.unwrap_or_default();
@@ -320,3 +328,10 @@
         }
     }
 }
+
+/// Whether the machine's name may become part of a key of the state service.
+fn is_name(report: &Report) -> bool {
+    let name = &report.machine.0;
+    let plain = |c: char| !c.is_whitespace() && !c.is_control() && c != '/';
+    (1..=NAME_BYTES).contains(&name.len()) && name.chars().all(plain)
+}
--- a/crates/worksshunt-core/src/pages.rs
+++ b/crates/worksshunt-core/src/pages.rs
@@ -117,6 +117,14 @@
         });
     }
 
+    /// A page found in the store had entries that were dropped: it is to be rewritten at once.
+    pub fn rewrite(&mut self, key: &str, now: Time) {
+        for page in self.pages.iter_mut().filter(|page| page.key == key) {
+            page.rewrite_at = Some(now);
+            page.stale += URGENT_ENTRIES;
+        }
+    }
+
     /// Wants an entry recorded.
     pub fn add(&mut self, key: E::Key, entry: E) {
         match self.pending.get_mut(&key) {
--- a/crates/worksshunt-core/src/records.rs
+++ b/crates/worksshunt-core/src/records.rs
@@ -4,7 +4,7 @@
 //! before it is on a page. Pages of former epochs are kept by the leader, until none of their
 //! attempts can be on a machine.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -99,6 +99,26 @@
     }
 }
 
+/// Drops all but the latest attempt at each task from the pages, and returns the keys of pages that
+/// had others. An attempt is made only when those before it are certainly gone; until its page is
+/// rewritten one may still be listed, on a machine of which nothing will ever be heard.
+pub fn keep_latest(pages: &mut [(Pair, Vec<Recorded>)]) -> BTreeSet<String> {
+    let mut latest: BTreeMap<TaskId, Attempt> = BTreeMap::new();
+    for record in pages.iter().flat_map(|(_, records)| records) {
+        let attempt = latest.entry(record.task).or_insert(record.attempt);
+        *attempt = record.attempt.max(*attempt);
+    }
+    let mut stale = BTreeSet::new();
+    for (pair, records) in pages {
+        let before = records.len();
+        records.retain(|record| latest.get(&record.task) == Some(&record.attempt));
+        if records.len() < before {
+            stale.insert(pair.key.clone());
+        }
+    }
+    stale
+}
+
 #[cfg(test)]
 mod tests {
     use worksshunt_wire::{JobId, Revision};
@@ -136,6 +156,31 @@
         assert_eq!(read, entries.into_values().collect::<Vec<_>>());
     }
 
+    // Guards against attempts that were given up long ago, counted against their team until the leases
+    // of machines that are no longer there have run out.
+    #[test]
+    fn of_several_attempts_at_a_task_only_the_latest_is_out() {
+        let record = |machine: &str, index, attempt| Recorded {
+            machine: machine.into(),
+            task: TaskId {
+                job: JobId(1),
+                index,
+            },
+            attempt: Attempt(attempt),
+            session: Session(1),
+        };
+        let page = |records| (pair(Value::Null), records);
+        let mut pages = vec![
+            page(vec![record("i-1", 0, 5), record("i-1", 1, 6)]),
+            page(vec![record("i-2", 0, 9)]),
+        ];
+        pages[1].0.key = "a/2".to_owned();
+        let stale = keep_latest(&mut pages);
+        assert_eq!(stale, BTreeSet::from(["a/i-000007".to_owned()]));
+        assert_eq!(pages[0].1, [record("i-1", 1, 6)]);
+        assert_eq!(pages[1].1, [record("i-2", 0, 9)]);
+    }
+
     // Guards against taking records of another version for empty ones, and running their tasks twice.
     #[test]
     fn records_of_the_first_release_are_understood_and_unknown_ones_named() {
--- a/crates/worksshunt-core/tests/stories/troubles.rs
+++ b/crates/worksshunt-core/tests/stories/troubles.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use serde_json::json;
+use worksshunt_core::controller::Event;
 use worksshunt_wire::{JobId, MachineId, TaskId};
 
 use crate::world::{job, World};
@@ -331,3 +332,49 @@
     assert!(urgent > 80, "the urgent work went on");
     world.check();
 }
+
+// Guards against reports that cannot be right: they change nothing and stop nothing.
+#[test]
+fn odd_reports_are_refused() {
+    let mut world = ready();
+    let good = json!({"Estiba": "i-000001", "Addr": "10.1.0.1:1", "Modelo": "m4", "Patio": "a",
+        "Prestados": true, "Jornada": 1, "Folio": 1, "Vara": 0, "Piezas": []});
+    let with = |field: &str, value: serde_json::Value| {
+        let mut report = good.clone();
+        report[field] = value;
+        report.to_string()
+    };
+    let odd = [
+        "{\"Estiba\": \"i-0".to_owned(),
+        "[]".to_owned(),
+        with("Estiba", json!("i 1")),
+        with("Estiba", json!("")),
+        with("Estiba", json!("x".repeat(300))),
+        with("Folio", json!(-1)),
+        with(
+            "Piezas",
+            json!([{"Pieza": "j-1", "Intento": 1, "Estado": "running"}]),
+        ),
+        with(
+            "Piezas",
+            json!([{"Pieza": "j-000001/0", "Intento": 1, "Estado": "flying"}]),
+        ),
+    ];
+    for body in odd {
+        let bytes = body.clone().into_bytes();
+        let reply = world.ask(0, |request| Event::Report(request, bytes));
+        assert_eq!(reply.status, 400, "{body}");
+    }
+    // An unknown type of machine, with a task that nobody gave it: heard, and not used.
+    let mut stranger = good.clone();
+    stranger["Modelo"] = json!("m9");
+    stranger["Piezas"] = json!([{"Pieza": "j-000001/0", "Intento": 1, "Estado": "running"}]);
+    for node in 0..3 {
+        let bytes = stranger.to_string().into_bytes();
+        let reply = world.ask(node, |request| Event::Report(request, bytes));
+        assert!(matches!(reply.status, 200 | 421), "{}", reply.status);
+    }
+    world.submit(0, &job(1, 4));
+    world.until("all tasks", 60_000, |w| w.all_done(1, 4));
+    world.check();
+}
