--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -290,8 +290,12 @@
 /// Milliseconds a refused (type, zone, kind) is not asked for again.
 pub const RENT_REFUSED_MS: u64 = 15_000;
 
-/// Milliseconds a machine stays empty, with nothing waiting, before it is returned.
-pub const IDLE_RETURN_MS: u64 = 25_000;
+/// Boot times of its type that a machine stays empty, with nothing waiting, before it is returned: what
+/// is kept for less long would often be missed before another is up.
+pub const IDLE_BOOTS: f64 = 0.5;
+
+/// Milliseconds a machine stays empty at the least, however fast its type boots: four reports.
+pub const IDLE_LEAST_MS: u64 = 10_000;
 
 /// Milliseconds a machine that the cloud lists as running counts as one that will take work without
 /// having been heard of: four reports. At the start of an epoch all are like that for a moment.
--- a/crates/worksshunt-core/src/fleet.rs
+++ b/crates/worksshunt-core/src/fleet.rs
@@ -8,8 +8,8 @@
 
 use crate::allotment::{Demand, MachineView};
 use crate::constants::{
-    BOOT_EXTRA_S, BOOT_FACTOR, IDLE_RETURN_MS, RENT_MOST, RENT_REFUSED_MS, RETURN_MOST, ROUNDING,
-    UNHEARD_SUPPLY_MS,
+    BOOT_EXTRA_S, BOOT_FACTOR, IDLE_BOOTS, IDLE_LEAST_MS, RENT_MOST, RENT_REFUSED_MS, RETURN_MOST,
+    ROUNDING, UNHEARD_SUPPLY_MS,
 };
 use crate::jobs::Job;
 use crate::placement::Room;
@@ -416,12 +416,13 @@
             .collect();
         let mut names = Vec::new();
         for (id, tracked) in &mut self.machines {
-            let idle = tracked
-                .idle_since
-                .is_some_and(|since| now.since(since) >= IDLE_RETURN_MS);
             let boot_s = catalog
                 .get(&tracked.offer.machine_type)
                 .map_or(0.0, |t| t.boot_s);
+            let idle_ms = ((boot_s * IDLE_BOOTS * 1_000.0) as u64).max(IDLE_LEAST_MS);
+            let idle = tracked
+                .idle_since
+                .is_some_and(|since| now.since(since) >= idle_ms);
             let patience = ((boot_s * BOOT_FACTOR + BOOT_EXTRA_S) * 1_000.0) as u64;
             let silent = now.since(tracked.heard.unwrap_or(tracked.since)) > patience;
             match tracked.stage {
--- a/crates/worksshunt-core/tests/stories/main.rs
+++ b/crates/worksshunt-core/tests/stories/main.rs
@@ -9,7 +9,14 @@
 
 /// A world in which an epoch has begun.
 fn ready() -> World {
+    ready_with_boots_of(5.0)
+}
+
+/// One whose machines usually boot in so many seconds by the catalogue, and so are kept for half of
+/// that while they are idle.
+fn ready_with_boots_of(ready_s: f64) -> World {
     let mut world = World::new();
+    world.ready_s = ready_s;
     world.until("an epoch", 5_000, |w| w.stored("c/epoch").is_some());
     world.run(1_000);
     world
--- a/crates/worksshunt-core/tests/stories/ordinary.rs
+++ b/crates/worksshunt-core/tests/stories/ordinary.rs
@@ -6,7 +6,7 @@
 use worksshunt_wire::{JobId, NodeName};
 
 use crate::world::{job, World};
-use crate::{long_job, ready};
+use crate::{long_job, ready, ready_with_boots_of};
 
 #[test]
 fn a_job_runs_to_its_end_and_every_controller_says_so() {
@@ -426,7 +426,7 @@
 // Guards against a faulty machine that fails tasks quickly and so attracts ever more of them.
 #[test]
 fn a_faulty_machine_gets_no_more_work_and_goes_back() {
-    let mut world = ready();
+    let mut world = ready_with_boots_of(50.0);
     world.run_ms = 2_000;
     let faulty = world.machine("a", true, 0);
     world.machine("a", true, 0);
--- a/crates/worksshunt-core/tests/stories/troubles.rs
+++ b/crates/worksshunt-core/tests/stories/troubles.rs
@@ -8,7 +8,7 @@
 use worksshunt_wire::{JobId, MachineId, TaskId};
 
 use crate::world::{job, World};
-use crate::{long_job, ready};
+use crate::{long_job, ready, ready_with_boots_of};
 
 fn starts_on(world: &World, id: &MachineId) -> usize {
     world.starts.iter().filter(|s| s.2 == *id).count()
@@ -43,7 +43,7 @@
 // Guards against one that nothing was sent to meanwhile: only its sessions tell.
 #[test]
 fn an_idle_machine_whose_sessions_rise_gets_no_tasks() {
-    let mut world = ready();
+    let mut world = ready_with_boots_of(50.0);
     let deaf = world.machine("a", true, 0);
     world.run(4_000);
     world.trouble.deaf.insert(deaf.clone());
@@ -57,7 +57,7 @@
 
 #[test]
 fn a_machine_that_can_be_reached_again_serves_again() {
-    let mut world = ready();
+    let mut world = ready_with_boots_of(50.0);
     world.run_ms = 4_000;
     world.capacity = 1;
     world.submit(0, &job(1, 60));
@@ -184,7 +184,7 @@
 // Guards against tasks that wait for an owner the leader cannot speak with, while others have room.
 #[test]
 fn tasks_go_where_the_leader_is_heard() {
-    let mut world = ready();
+    let mut world = ready_with_boots_of(50.0);
     let leader = world.leader();
     world.run_ms = 2_000;
     for _ in 0..9 {
--- a/crates/worksshunt-core/tests/stories/world/mod.rs
+++ b/crates/worksshunt-core/tests/stories/world/mod.rs
@@ -286,6 +286,8 @@
     pub jobs: BTreeMap<JobId, JobSpec>,
     pub capacity: usize,
     pub run_ms: u64,
+    /// The boot time in the catalogue, seconds. Machines take five.
+    pub ready_s: f64,
     /// How long a machine is missing from the list.
     pub list_lag_ms: u64,
     requests: u64,
@@ -328,10 +330,10 @@
     .expect("settings")
 }
 
-pub fn catalog() -> Catalog {
+fn catalog(ready_s: f64) -> Catalog {
     serde_json::from_value(json!({"Modelos": [
         {"Name": "m4", "Cores": 4, "Gpus": 0, "RamGb": 16, "Rate": 1.0, "LowPrice": 0.4,
-         "ReadyS": 5, "PullGbPerS": 1.0, "Patios": ["a", "b"]}
+         "ReadyS": ready_s, "PullGbPerS": 1.0, "Patios": ["a", "b"]}
     ]}))
     .expect("catalog")
 }
@@ -361,6 +363,7 @@
             jobs: BTreeMap::new(),
             capacity: 10,
             run_ms: 8_000,
+            ready_s: 5.0,
             list_lag_ms: 0,
             requests: 0,
             waiting: BTreeMap::new(),
@@ -856,7 +859,7 @@
             return CloudReply::Failed;
         }
         match request {
-            CloudRequest::Catalog => CloudReply::Catalog(catalog()),
+            CloudRequest::Catalog => CloudReply::Catalog(catalog(self.ready_s)),
             CloudRequest::List => CloudReply::List(MachineList {
                 machines: self
                     .workers
