Room within a team's limit is kept for jobs whose age wins; old jobs come sooner

The story shows it without the guard.

Change: a job that has waited too long has room for one task kept within its team's limit; one older than 200 s comes first every 25 s, so that what has begun gets done as well.

--- a/crates/worksshunt-core/src/allotment/claims.rs
+++ b/crates/worksshunt-core/src/allotment/claims.rs
@@ -68,7 +68,7 @@
         for job in stuck {
             let id = job.spec.id;
             let waiting = self.jobs.get(&id).map_or(0, |work| work.waiting());
-            let wanted = waiting.min(self.quota.admitted(&job)) as usize;
+            let wanted = waiting.min(self.quota.admitted_first(&job)) as usize;
             let held = self.claims.values().filter(|c| c.job == id).count();
             let more = wanted.saturating_sub(held).min(free_claims);
             let zones = self.allowed_zones(&job);
--- a/crates/worksshunt-core/src/allotment/handout.rs
+++ b/crates/worksshunt-core/src/allotment/handout.rs
@@ -5,7 +5,9 @@
 
 use worksshunt_wire::{Attempt, JobId, MachineId, NodeName, TaskId};
 
-use crate::constants::{ATTEMPTS_PER_EPOCH, ROUND_EVERY_MS, STARVED_MS, STARVED_SHARE};
+use crate::constants::{
+    ATTEMPTS_PER_EPOCH, OLD_JOB_MS, ROUND_EVERY_MS, STARVED_MS, STARVED_OLD_MS, STARVED_SHARE,
+};
 use crate::jobs::Job;
 use crate::placement::Room;
 use crate::time::{Budget, Now, Time};
@@ -95,6 +97,7 @@
         ]
         .concat();
         self.round.position = 0;
+        self.quota.keep_nothing();
         self.round.stirred = false;
         self.round.began = Some(now.steady);
     }
@@ -128,7 +131,7 @@
         let mut most = match pass {
             Pass::Starved => self
                 .quota
-                .admitted(&job)
+                .admitted_first(&job)
                 .min((waiting / STARVED_SHARE).max(1)),
             Pass::Guaranteed => self.quota.guaranteed(&job),
             Pass::Rest => self.quota.admitted(&job),
@@ -137,11 +140,20 @@
         if waiting == 0 {
             work.stuck_since = None;
         }
+        // What ends is left to a starved job: narrower tasks of its team would always forestall it.
+        let mut kept = pass == Pass::Starved && waiting > 0;
+        if kept {
+            self.quota.keep(&job);
+        }
         while most > 0 {
             // Each task of such a job decides where the next may go.
             let at_once = if job.zones_matter() { 1 } else { most };
             let places = self.places(now.steady, &job, at_once);
             let found = places.len() as u32;
+            if kept && found > 0 {
+                self.quota.keep_no_more(&job);
+                kept = false;
+            }
             for place in places {
                 self.hand_out_to(now, &job, place);
             }
@@ -306,11 +318,16 @@
     }
 }
 
-/// Whether a job has had nothing for so long that its age has to win.
+/// Whether a job has had nothing for so long that its age has to win; an old job sooner.
 fn is_starved(work: &Work, now: Now) -> bool {
-    let waited_ms = match work.served {
-        Some(served) => now.steady.since(served),
-        None => now.wall_ms.saturating_sub(work.job.accepted_ms),
+    let age_ms = now.wall_ms.saturating_sub(work.job.accepted_ms);
+    let waited_ms = work
+        .served
+        .map_or(age_ms, |served| now.steady.since(served));
+    let patience_ms = if age_ms >= OLD_JOB_MS {
+        STARVED_OLD_MS
+    } else {
+        STARVED_MS
     };
-    waited_ms >= STARVED_MS
+    waited_ms >= patience_ms
 }
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -59,6 +59,14 @@
 /// of the four minutes within which even the largest job must begin, so that it holds under a burst.
 pub const STARVED_MS: u64 = 100_000;
 
+/// Age of a job, milliseconds, from which it has waited long enough for that after
+/// [`STARVED_OLD_MS`] already: it has begun by then, and has to get done as well.
+pub const OLD_JOB_MS: u64 = 200_000;
+
+/// Milliseconds without a task handed out after which an old job comes before all others: with an
+/// eighth of its tasks each time, most of them are out within four minutes.
+pub const STARVED_OLD_MS: u64 = 25_000;
+
 /// One in so many of its waiting tasks, and at least one, is what such a job gets at a time: enough
 /// to get it done in the end, little enough not to turn the order of service around.
 pub const STARVED_SHARE: u32 = 8;
--- a/crates/worksshunt-core/src/quota.rs
+++ b/crates/worksshunt-core/src/quota.rs
@@ -23,6 +23,8 @@
 pub struct Quota {
     teams: BTreeMap<TeamName, Team>,
     used: BTreeMap<TeamName, Usage>,
+    /// What is kept free for tasks that come first.
+    kept: BTreeMap<TeamName, Usage>,
 }
 
 /// Processors in use by team.
@@ -42,6 +44,7 @@
         Quota {
             teams: teams.iter().map(|t| (t.name.clone(), t.clone())).collect(),
             used: BTreeMap::new(),
+            kept: BTreeMap::new(),
         }
     }
 
@@ -60,9 +63,35 @@
         self.admitted(job) > 0
     }
 
-    /// How many more tasks of the job its team's limit admits.
+    /// How many more tasks of the job its team's limit admits beside what is kept.
     pub fn admitted(&self, job: &Job) -> u32 {
-        self.room(job, |team| (team.cpus_max, team.gpus_max))
+        let kept = self.kept.get(&job.spec.team).copied().unwrap_or_default();
+        self.room(job, kept, |team| (team.cpus_max, team.gpus_max))
+    }
+
+    /// How many more tasks of a job that something is kept for its team's limit admits.
+    pub fn admitted_first(&self, job: &Job) -> u32 {
+        let nothing = Usage::default();
+        self.room(job, nothing, |team| (team.cpus_max, team.gpus_max))
+    }
+
+    /// Keeps room for one task of the job within its team's limit.
+    pub fn keep(&mut self, job: &Job) {
+        let kept = self.kept.entry(job.spec.team.clone()).or_default();
+        kept.cpus += job.spec.cpus;
+        kept.gpus += job.spec.gpus;
+    }
+
+    /// Nothing has to be kept for the job any more.
+    pub fn keep_no_more(&mut self, job: &Job) {
+        let kept = self.kept.entry(job.spec.team.clone()).or_default();
+        kept.cpus = (kept.cpus - job.spec.cpus).max(0.0);
+        kept.gpus = (kept.gpus - job.spec.gpus).max(0.0);
+    }
+
+    /// Keeps room for none any more.
+    pub fn keep_nothing(&mut self) {
+        self.kept.clear();
     }
 
     /// Whether one more task of the job keeps its team within its guarantee.
@@ -72,15 +101,18 @@
 
     /// How many more tasks of the job lie within its team's guarantee.
     pub fn guaranteed(&self, job: &Job) -> u32 {
-        self.room(job, |team| (team.cpus, team.gpus))
+        let kept = self.kept.get(&job.spec.team).copied().unwrap_or_default();
+        self.room(job, kept, |team| (team.cpus, team.gpus))
     }
 
-    fn room(&self, job: &Job, bound: impl Fn(&Team) -> (f64, f64)) -> u32 {
+    fn room(&self, job: &Job, kept: Usage, bound: impl Fn(&Team) -> (f64, f64)) -> u32 {
         let Some(team) = self.teams.get(&job.spec.team) else {
             return 0;
         };
         let (cpus, gpus) = bound(team);
-        let used = self.used(&job.spec.team);
+        let mut used = self.used(&job.spec.team);
+        used.cpus += kept.cpus;
+        used.gpus += kept.gpus;
         let times = |free: f64, each: f64| match each {
             each if each > 0.0 => ((free + ROUNDING) / each).max(0.0) as u32,
             // What it does not take cannot run out, but may have.
--- a/crates/worksshunt-core/tests/stories/troubles.rs
+++ b/crates/worksshunt-core/tests/stories/troubles.rs
@@ -333,6 +333,34 @@
     world.check();
 }
 
+// Guards against wide tasks that their own team's narrow ones keep out: whenever one of those ends, the
+// limit has room for another of them only.
+#[test]
+fn a_wide_job_gets_done_beside_narrow_ones_of_its_team() {
+    let mut world = ready();
+    world.run_ms = 7_000;
+    world.run_spread_ms = 900;
+    let red = |id: u64, tasks: u32| {
+        let mut red = job(id, tasks);
+        red["Cuadrilla"] = json!("red");
+        red
+    };
+    let mut wide = red(1, 4);
+    wide["Turno"] = json!("low");
+    wide["Cores"] = json!(4.0);
+    world.submit(0, &red(2, 400));
+    world.run(20_000);
+    world.submit(1, &wide);
+    let submitted = world.now;
+    world.until("its first task", 130_000, |w| {
+        w.starts.iter().any(|s| s.1.job == JobId(1))
+    });
+    world.until("all of it", 250_000, |w| w.all_done(1, 4));
+    assert!(world.now < submitted + 330_000);
+    assert!(!world.all_done(2, 400), "the narrow ones were still coming");
+    world.check();
+}
+
 // Guards against reports that cannot be right: they change nothing and stop nothing.
 #[test]
 fn odd_reports_are_refused() {
--- a/crates/worksshunt-core/tests/stories/world/mod.rs
+++ b/crates/worksshunt-core/tests/stories/world/mod.rs
@@ -286,6 +286,8 @@
     pub jobs: BTreeMap<JobId, JobSpec>,
     pub capacity: usize,
     pub run_ms: u64,
+    /// How much longer each task runs than the one before it, in groups of eight.
+    pub run_spread_ms: u64,
     /// The boot time in the catalogue, seconds. Machines take five.
     pub ready_s: f64,
     /// How long a machine is missing from the list.
@@ -363,6 +365,7 @@
             jobs: BTreeMap::new(),
             capacity: 10,
             run_ms: 8_000,
+            run_spread_ms: 0,
             ready_s: 5.0,
             list_lag_ms: 0,
             requests: 0,
@@ -954,7 +957,8 @@
         for task in worker.tasks.values_mut() {
             if task.state == TaskState::Fetching {
                 task.state = TaskState::Running;
-                task.ends_at = now + self.run_ms;
+                let longer = u64::from(task.task.index % 8) * self.run_spread_ms;
+                task.ends_at = now + self.run_ms + longer;
                 started.push(task.task);
                 changed = true;
             } else if task.state == TaskState::Running && now >= task.ends_at {
