One tag and one share per lane of writes, one way to count a task in and out

Giving up what was never launched on a machine stood twice. Names that hid others in pages and parts. Behaviour is the same.

--- a/crates/worksshunt-core/src/allotment/parts.rs
+++ b/crates/worksshunt-core/src/allotment/parts.rs
@@ -284,8 +284,8 @@
             claims: known(&held),
             gone: known(gone),
         };
-        let known = |(seq, told): &(u64, Wishes)| *told == wishes && *seq <= part.seen;
-        if !part.wishes.as_ref().is_some_and(known) {
+        let confirmed = |(seq, told): &(u64, Wishes)| *told == wishes && *seq <= part.seen;
+        if !part.wishes.as_ref().is_some_and(confirmed) {
             part.wishes = Some((part.answers, wishes.clone()));
             down.wishes = Some(wishes);
         }
--- a/crates/worksshunt-core/src/controller/epochs.rs
+++ b/crates/worksshunt-core/src/controller/epochs.rs
@@ -14,7 +14,6 @@
 use crate::time::{Now, Periodic, Time};
 use crate::users::{not_final, settled, Reply};
 
-use super::writes::Lane;
 use super::{store, Action, Controller, Leader, Loading, StoreOp, StoreReply, StoreTag};
 
 /// Loading under way.
@@ -143,20 +142,10 @@
                     self.load_answer(t, step, reply, out);
                 }
             }
-            StoreTag::Records(epoch) if epoch == self.membership.token() => {
-                self.lane_answer(Lane::Records, t, sent, reply);
-            }
-            StoreTag::Pages(epoch) if epoch == self.membership.token() => {
-                self.lane_answer(Lane::Pages, t, sent, reply);
-            }
-            StoreTag::Ends(epoch) if epoch == self.membership.token() => {
-                self.lane_answer(Lane::Ends, t, sent, reply);
-            }
-            StoreTag::Intake(epoch) if epoch == self.membership.token() => {
-                self.lane_answer(Lane::Intake, t, sent, reply);
-            }
-            // Of a former epoch.
-            StoreTag::Records(_) | StoreTag::Pages(_) | StoreTag::Ends(_) | StoreTag::Intake(_) => {
+            StoreTag::Write(lane, epoch) => {
+                if epoch == self.membership.token() {
+                    self.lane_answer(lane, t, sent, reply);
+                }
             }
             StoreTag::Refresh(epoch, key) => {
                 if epoch == self.membership.token() {
--- a/crates/worksshunt-core/src/controller/events.rs
+++ b/crates/worksshunt-core/src/controller/events.rs
@@ -77,14 +77,8 @@
     CatchUp,
     /// Records at the start of an epoch.
     Load(Epoch, Loading),
-    /// A write of machines' records.
-    Records(Epoch),
-    /// A write of the leader's pages.
-    Pages(Epoch),
-    /// A write of ends of jobs and claims.
-    Ends(Epoch),
-    /// A write that gives jobs taken in together keys of their own.
-    Intake(Epoch),
+    /// A conditional write of an epoch.
+    Write(Lane, Epoch),
     /// A page whose version has become uncertain.
     Refresh(Epoch, String),
     /// A final state that questions had to be put off for.
@@ -101,6 +95,19 @@
     KeepCatalog(Catalog),
 }
 
+/// Which of an epoch's conditional writes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lane {
+    /// Machines' records of the own part.
+    Records,
+    /// Completions, and machines' records of former epochs (leader).
+    Pages,
+    /// Ends of jobs and claims (leader).
+    Ends,
+    /// Keys of their own for jobs taken in together (leader).
+    Intake,
+}
+
 /// Steps of loading an epoch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Loading {
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -25,7 +25,7 @@
 use crate::users::{Progress, Question, Reply, Users};
 
 use epochs::Load;
-pub use events::{Action, CloudReply, Event, Loading, StoreOp, StoreReply, StoreTag};
+pub use events::{Action, CloudReply, Event, Lane, Loading, StoreOp, StoreReply, StoreTag};
 use writes::Lanes;
 
 struct Leader {
--- a/crates/worksshunt-core/src/controller/writes.rs
+++ b/crates/worksshunt-core/src/controller/writes.rs
@@ -18,22 +18,9 @@
 use crate::time::{Bucket, Periodic, Time};
 use crate::users::Ask;
 
-use super::{store, Action, Controller, StoreOp, StoreReply, StoreTag};
+use super::{store, Action, Controller, Lane, StoreOp, StoreReply, StoreTag};
 use worksshunt_wire::user::JobState;
 
-/// Which of an epoch's writes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Lane {
-    /// Machines' records of the own part.
-    Records,
-    /// Completions, and machines' records of former epochs (leader).
-    Pages,
-    /// Ends of jobs and claims (leader).
-    Ends,
-    /// Keys of their own for jobs taken in together (leader).
-    Intake,
-}
-
 /// One write among the ends.
 #[derive(Debug, Clone)]
 enum End {
@@ -52,10 +39,28 @@
     Unclear,
 }
 
-#[derive(Debug, Default)]
+/// One write at a time, within a share of the state service's limit.
+#[derive(Debug)]
 struct Line {
     turn: Periodic,
     under_way: Option<Txn>,
+    writes: Bucket,
+}
+
+impl Line {
+    fn new(writes: Bucket) -> Line {
+        Line {
+            turn: Periodic::default(),
+            under_way: None,
+            writes,
+        }
+    }
+
+    /// Starts anew in an epoch.
+    fn begin(&mut self) {
+        self.turn = Periodic::default();
+        self.under_way = None;
+    }
 }
 
 /// The lanes, and the shares of the state service's limit that they keep to.
@@ -72,49 +77,39 @@
     ending: Vec<End>,
     write_rps: f64,
     txn_ops: usize,
-    record_writes: Bucket,
-    page_writes: Bucket,
-    end_writes: Bucket,
-    intake_writes: Bucket,
     /// For submissions and cancellations.
     pub user_writes: Bucket,
 }
 
 impl Lanes {
     pub fn new(state: &StateLimits) -> Lanes {
-        let rate = |share: f64| state.write_rps * share;
-        let burst = state.txn_ops as f64;
+        let share = |share: f64, burst: usize| Bucket::new(state.write_rps * share, burst as f64);
         Lanes {
-            records: Line::default(),
-            pages: Line::default(),
-            ends: Line::default(),
-            intake: Line::default(),
+            records: Line::new(share(RECORD_SHARE, PAGES_AT_ONCE)),
+            pages: Line::new(share(PAGE_SHARE, PAGES_AT_ONCE)),
+            ends: Line::new(share(END_SHARE, state.txn_ops)),
+            intake: Line::new(share(INTAKE_SHARE, state.txn_ops)),
             intake_done: None,
             settled: BTreeSet::new(),
             refresh: Periodic::default(),
             ending: Vec::new(),
             write_rps: state.write_rps,
             txn_ops: state.txn_ops,
-            record_writes: Bucket::new(rate(RECORD_SHARE), PAGES_AT_ONCE as f64),
-            page_writes: Bucket::new(rate(PAGE_SHARE), PAGES_AT_ONCE as f64),
-            end_writes: Bucket::new(rate(END_SHARE), burst),
-            intake_writes: Bucket::new(rate(INTAKE_SHARE), burst),
-            user_writes: Bucket::new(rate(USER_WRITE_SHARE), burst),
+            user_writes: share(USER_WRITE_SHARE, state.txn_ops),
         }
     }
 
     /// Starts anew in an epoch with so many owners.
     pub fn begin(&mut self, owners: usize) {
-        self.records = Line::default();
-        self.pages = Line::default();
-        self.ends = Line::default();
-        self.intake = Line::default();
+        let rate = self.write_rps * RECORD_SHARE / owners.max(1) as f64;
+        self.records = Line::new(Bucket::new(rate, PAGES_AT_ONCE as f64));
+        self.pages.begin();
+        self.ends.begin();
+        self.intake.begin();
         self.intake_done = None;
         self.settled.clear();
         self.refresh = Periodic::default();
         self.ending.clear();
-        let rate = self.write_rps * RECORD_SHARE / owners.max(1) as f64;
-        self.record_writes = Bucket::new(rate, PAGES_AT_ONCE as f64);
     }
 
     fn line(&mut self, lane: Lane) -> &mut Line {
@@ -169,31 +164,29 @@
             return;
         };
         line.turn.sent(now, 0);
-        let changes = txn.changes.len();
-        let (tag, writes) = match lane {
-            Lane::Records => (StoreTag::Records(token), &mut self.lanes.record_writes),
-            Lane::Pages => (StoreTag::Pages(token), &mut self.lanes.page_writes),
-            Lane::Ends => (StoreTag::Ends(token), &mut self.lanes.end_writes),
-            Lane::Intake => (StoreTag::Intake(token), &mut self.lanes.intake_writes),
-        };
-        writes.take(changes);
-        store(out, tag, StoreOp::Txn(txn));
+        line.writes.take(txn.changes.len());
+        store(out, StoreTag::Write(lane, token), StoreOp::Txn(txn));
     }
 
     fn record_txn(&mut self, now: Time, txn: &mut Txn) {
-        let most = self.lanes.record_writes.available(now).min(PAGES_AT_ONCE);
+        let most = self.lanes.records.writes.available(now).min(PAGES_AT_ONCE);
         add_pages(txn, self.part.record_write(now, most));
     }
 
     fn pages_txn(&mut self, now: Time, txn: &mut Txn) {
-        let most = self.lanes.page_writes.available(now).min(PAGES_AT_ONCE);
+        let most = self.lanes.pages.writes.available(now).min(PAGES_AT_ONCE);
         if let Some(leader) = &mut self.leader {
             add_pages(txn, leader.allotment.pages_write(now, most));
         }
     }
 
     fn ends_txn(&mut self, now: Time, txn: &mut Txn) {
-        let most = self.lanes.end_writes.available(now).min(self.lanes.txn_ops);
+        let most = self
+            .lanes
+            .ends
+            .writes
+            .available(now)
+            .min(self.lanes.txn_ops);
         let Some(leader) = &mut self.leader else {
             return;
         };
@@ -254,7 +247,7 @@
     /// drops those that have one already or are over.
     fn intake_txn(&mut self, now: Time, txn: &mut Txn) {
         let lanes = &mut self.lanes;
-        let most = lanes.intake_writes.available(now).min(lanes.txn_ops);
+        let most = lanes.intake.writes.available(now).min(lanes.txn_ops);
         let dealt_with = |key: &String, version| {
             let done = lanes.intake_done.as_ref();
             done.is_some_and(|(k, v)| k == key && *v == version)
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -479,11 +479,7 @@
         let Some(notice) = machine.notice else {
             return;
         };
-        let mut unlaunched = Vec::new();
-        for (attempt, held) in &mut machine.held {
-            if held.never_launched() {
-                unlaunched.push(*attempt);
-            }
+        for held in machine.held.values_mut() {
             let saves = held.job.as_ref().is_some_and(|job| {
                 job.spec.checkpoint_s > 0.0 && now + (job.spec.save_s * 1_000.0) as u64 <= notice
             });
@@ -492,13 +488,11 @@
                 self.to_order.insert(id.clone());
             }
         }
-        for attempt in unlaunched {
-            self.end(id, attempt, End::Stopped, now);
-        }
+        self.give_up_unlaunched(id, now);
         self.look_at(id, now);
     }
 
-    /// What was never launched on a machine that cannot be reached goes back.
+    /// What was never launched on a machine goes back: it cannot be reached, or will be taken.
     fn give_up_unlaunched(&mut self, id: &MachineId, now: Time) {
         let Some(machine) = self.machines.get(id) else {
             return;
--- a/crates/worksshunt-core/src/pages.rs
+++ b/crates/worksshunt-core/src/pages.rs
@@ -246,10 +246,10 @@
     /// The write under way is durable, at that revision if it is known. Returns the keys of the
     /// entries it brought.
     pub fn written(&mut self, revision: Option<Revision>) -> Vec<E::Key> {
-        let bringing = |page: &Page<E>| !page.entries.is_empty() || page.rewrite_at.is_some();
+        let needed = |page: &Page<E>| !page.entries.is_empty() || page.rewrite_at.is_some();
         // A page that was removed is gone; one that lost its entries since will be.
         self.pages
-            .retain(|page| page.state != PageState::Writing || bringing(page));
+            .retain(|page| page.state != PageState::Writing || needed(page));
         for page in &mut self.pages {
             if page.state == PageState::Writing {
                 page.state = revision.map_or(PageState::Uncertain, PageState::Stored);
--- a/crates/worksshunt-core/src/quota.rs
+++ b/crates/worksshunt-core/src/quota.rs
@@ -18,6 +18,20 @@
     pub gpus: f64,
 }
 
+impl Usage {
+    /// Counts so many tasks of the job in.
+    fn add(&mut self, job: &Job, tasks: u32) {
+        self.cpus += job.spec.cpus * f64::from(tasks);
+        self.gpus += job.spec.gpus * f64::from(tasks);
+    }
+
+    /// Counts one task of the job out.
+    fn remove(&mut self, job: &Job) {
+        self.cpus = (self.cpus - job.spec.cpus).max(0.0);
+        self.gpus = (self.gpus - job.spec.gpus).max(0.0);
+    }
+}
+
 /// What teams may use and do use.
 #[derive(Debug, Clone, Default)]
 pub struct Quota {
@@ -54,7 +68,7 @@
     }
 
     /// A team's use.
-    pub fn used(&self, name: &TeamName) -> Usage {
+    fn used(&self, name: &TeamName) -> Usage {
         self.used.get(name).copied().unwrap_or_default()
     }
 
@@ -78,15 +92,13 @@
     /// Keeps room for one task of the job within its team's limit.
     pub fn keep(&mut self, job: &Job) {
         let kept = self.kept.entry(job.spec.team.clone()).or_default();
-        kept.cpus += job.spec.cpus;
-        kept.gpus += job.spec.gpus;
+        kept.add(job, 1);
     }
 
     /// Nothing has to be kept for the job any more.
     pub fn keep_no_more(&mut self, job: &Job) {
         let kept = self.kept.entry(job.spec.team.clone()).or_default();
-        kept.cpus = (kept.cpus - job.spec.cpus).max(0.0);
-        kept.gpus = (kept.gpus - job.spec.gpus).max(0.0);
+        kept.remove(job);
     }
 
     /// Keeps room for none any more.
@@ -130,8 +142,7 @@
     ) -> bool {
         let mut used = self.used(name);
         for job in without {
-            used.cpus -= job.spec.cpus;
-            used.gpus -= job.spec.gpus;
+            used.remove(job);
         }
         let over =
             |team: &Team| used.cpus > team.cpus + ROUNDING || used.gpus > team.gpus + ROUNDING;
@@ -146,14 +157,12 @@
     /// Counts more tasks of the job.
     pub fn take_many(&mut self, job: &Job, tasks: u32) {
         let used = self.used.entry(job.spec.team.clone()).or_default();
-        used.cpus += job.spec.cpus * f64::from(tasks);
-        used.gpus += job.spec.gpus * f64::from(tasks);
+        used.add(job, tasks);
     }
 
     /// Counts one task of the job less.
     pub fn give_back(&mut self, job: &Job) {
         let used = self.used.entry(job.spec.team.clone()).or_default();
-        used.cpus = (used.cpus - job.spec.cpus).max(0.0);
-        used.gpus = (used.gpus - job.spec.gpus).max(0.0);
+        used.remove(job);
     }
 }
