Priority decides first; a guarantee comes before it only when its time presses

Cause: what lies within teams' guarantees was handed out before all else, whatever its priority. And jobs were taken within a guarantee by deadline, while users count them by submission: 2.2% were late.

Now: jobs that fit into their team's guarantee together with its earlier ones come first once they have waited to within 30 s of what that allows; apart from that the order is priority, then guarantee among equals. Preemption follows the same order, so nothing is stopped that would be served first.

Ruled out: renting (1,123 machines are asked for by 10 s), the writes (no refusals).

--- a/crates/worksshunt-core/src/allotment/handout.rs
+++ b/crates/worksshunt-core/src/allotment/handout.rs
@@ -20,7 +20,9 @@
 enum Pass {
     /// It has had nothing for so long that it gets a share of its tasks before all others.
     Starved,
-    /// What lies within its team's guarantee.
+    /// It lies within its team's guarantee and would soon have waited too long for that.
+    Pressing,
+    /// What leaves its team within its guarantee.
     Guaranteed,
     /// What its team's limit admits.
     Rest,
@@ -34,12 +36,19 @@
     began: Option<Time>,
     /// Something changed that another round may make use of.
     stirred: bool,
+    /// Jobs that may claim their team's guarantee now, as of the beginning of the round.
+    within: BTreeSet<JobId>,
 }
 
 impl Round {
     pub fn stir(&mut self) {
         self.stirred = true;
     }
+
+    /// Whether the job may claim its team's guarantee now.
+    pub fn claims_guarantee(&self, job: &Job) -> bool {
+        self.within.contains(&job.spec.id)
+    }
 }
 
 /// Where a task may go: a part, a machine with room there, and the zone if it is bound to it.
@@ -86,25 +95,48 @@
             .filter(|work| is_starved(work, now))
             .collect();
         starved.sort_by_key(|work| work.job.accepted_ms);
+        let within = self.within_guarantees(now);
+        let pressing: Vec<&Work> = works
+            .iter()
+            .copied()
+            .filter(|work| within.contains(&work.job.spec.id))
+            .collect();
         let id = |work: &&Work| work.job.spec.id;
         let order = |pass, works: &[&Work]| -> Vec<(Pass, JobId)> {
             works.iter().map(|work| (pass, id(work))).collect()
         };
-        self.round.order = [
-            order(Pass::Starved, &starved),
-            order(Pass::Guaranteed, &works),
-            order(Pass::Rest, &works),
-        ]
-        .concat();
+        let mut all = order(Pass::Starved, &starved);
+        all.extend(order(Pass::Pressing, &pressing));
+        for equals in works.chunk_by(|a, b| a.job.spec.priority == b.job.spec.priority) {
+            all.extend(order(Pass::Guaranteed, equals));
+            all.extend(order(Pass::Rest, equals));
+        }
+        self.round.order = all;
+        self.round.within = within;
         self.round.position = 0;
         self.quota.keep_nothing();
         self.round.stirred = false;
         self.round.began = Some(now.steady);
     }
 
-    /// Hands out waiting tasks: first to jobs that have waited too long, then what lies within
-    /// teams' guarantees, then the rest, each by priority, deadline and age. Goes on where the last
-    /// call stopped.
+    /// Jobs that fit into their teams' guarantees together with the teams' earlier ones, and that have
+    /// waited nearly as long as such jobs may.
+    fn within_guarantees(&self, now: Now) -> BTreeSet<JobId> {
+        let mut works: Vec<&Work> = self.jobs.values().collect();
+        works.sort_unstable_by_key(|work| (work.job.accepted_ms, work.job.spec.id));
+        let mut guarantees = self.quota.unused();
+        works
+            .into_iter()
+            .filter(|work| guarantees.fits_all(&work.job))
+            .filter(|work| self.objectives.guarantee_presses(&work.job, now.wall_ms))
+            .map(|work| work.job.spec.id)
+            .collect()
+    }
+
+    /// Hands out waiting tasks: first to jobs that have waited too long, then to those within teams'
+    /// guarantees for which that is pressing, then by priority; among equals what leaves its team
+    /// within its guarantee comes first, each by deadline and age. Goes on where the last call
+    /// stopped.
     pub fn round(&mut self, now: Now, budget: &Budget) {
         if self.round.position >= self.round.order.len() {
             let fresh = |began: Time| now.steady.since(began) < ROUND_EVERY_MS;
@@ -133,7 +165,7 @@
                 .quota
                 .admitted_first(&job)
                 .min((waiting / STARVED_SHARE).max(1)),
-            Pass::Guaranteed => self.quota.guaranteed(&job),
+            Pass::Pressing | Pass::Guaranteed => self.quota.guaranteed(&job),
             Pass::Rest => self.quota.admitted(&job),
         }
         .min(waiting);
--- a/crates/worksshunt-core/src/allotment/preempt.rs
+++ b/crates/worksshunt-core/src/allotment/preempt.rs
@@ -16,6 +16,17 @@
 use super::parts::Down;
 use super::{Allotment, Work};
 
+/// What a job may claim of its team's guarantee.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Guarantee {
+    /// Its team has used it up.
+    UsedUp,
+    /// It comes before others of its priority.
+    AmongEquals,
+    /// It comes before all others.
+    First,
+}
+
 /// A task that may be stopped for another.
 struct Victim {
     /// The work that would be lost, milliseconds.
@@ -78,12 +89,17 @@
         for (_, job, waiting) in stuck {
             for _ in 0..*waiting {
                 let guaranteed = quota.guarantees(job);
+                let guarantee = match (guaranteed, self.round.claims_guarantee(job)) {
+                    (true, true) => Guarantee::First,
+                    (true, false) => Guarantee::AmongEquals,
+                    (false, _) => Guarantee::UsedUp,
+                };
                 if budget.spent() {
                     return chosen;
                 }
                 if !quota.admits(job)
                     || !self.presses(job, now, guaranteed)
-                    || !make_room(job, &mut quota, &mut grounds, &mut chosen)
+                    || !make_room(job, guarantee, &mut quota, &mut grounds, &mut chosen)
                 {
                     break;
                 }
@@ -142,12 +158,12 @@
 /// Makes room for one task of the job where that loses least work; false if nothing can.
 fn make_room(
     job: &Job,
+    guarantee: Guarantee,
     quota: &mut Quota,
     grounds: &mut BTreeMap<MachineId, Ground>,
     chosen: &mut Vec<Attempt>,
 ) -> bool {
     let need = Room::of_job(job);
-    let guaranteed = quota.guarantees(job);
     let mut best: Option<(u64, MachineId, Vec<usize>)> = None;
     for (id, ground) in grounds.iter() {
         let machine = ground.machine;
@@ -167,7 +183,7 @@
                 .map(|i| &ground.victims[*i].job)
                 .filter(|other| other.spec.team == victim.job.spec.team);
             let over = quota.over_guarantee_without(&victim.job.spec.team, same_team);
-            if may_stop(&victim.job, over, job, guaranteed) {
+            if may_stop(&victim.job, over, job, guarantee) {
                 room.give_back(&Room::of_job(&victim.job));
                 cost += victim.loses_ms;
                 stopped.push(index);
@@ -195,8 +211,13 @@
 }
 
 /// Whether a task of `other`, whose team is `over` its guarantee or not, may be stopped for one of
-/// `job`, which lies within its team's guarantee (`guaranteed`) or not.
-fn may_stop(other: &Job, over: bool, job: &Job, guaranteed: bool) -> bool {
+/// `job`: never what would be served before it.
+fn may_stop(other: &Job, over: bool, job: &Job, guarantee: Guarantee) -> bool {
     let lower = other.spec.priority < job.spec.priority;
-    (guaranteed && over && other.spec.team != job.spec.team) || (lower && (guaranteed || over))
+    let for_team = over && other.spec.team != job.spec.team;
+    match guarantee {
+        Guarantee::First => for_team || lower,
+        Guarantee::AmongEquals => (for_team && other.spec.priority <= job.spec.priority) || lower,
+        Guarantee::UsedUp => lower && over,
+    }
 }
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -242,6 +242,10 @@
 /// are stopped for it: enough for a stop, a fetch and two reports.
 pub const PRESSING_S: f64 = 10.0;
 
+/// Seconds before work within a guarantee has waited too long, from which on it comes before work of
+/// higher priority: as long as a full fleet takes to end tasks for all of a guarantee.
+pub const GUARANTEE_LEAD_S: f64 = 30.0;
+
 /// Failures of a job after which its tasks wait between tries.
 pub const ERRORS_BEFORE_BACKOFF: u32 = 3;
 
--- a/crates/worksshunt-core/src/objectives.rs
+++ b/crates/worksshunt-core/src/objectives.rs
@@ -4,7 +4,9 @@
 
 use worksshunt_wire::settings::Objective;
 
-use crate::constants::{PRESSING_S, SLACK_DEFAULT_S, SLACK_LEAST_S, SLACK_MOST_S};
+use crate::constants::{
+    GUARANTEE_LEAD_S, PRESSING_S, SLACK_DEFAULT_S, SLACK_LEAST_S, SLACK_MOST_S,
+};
 use crate::jobs::Job;
 
 #[derive(Debug, Clone, Default)]
@@ -82,6 +84,13 @@
                 .any(|start| (0.0..=PRESSING_S).contains(&(start - age_s)))
     }
 
+    /// Whether a job within its team's guarantee has waited nearly as long as that allows.
+    pub fn guarantee_presses(&self, job: &Job, wall_ms: u64) -> bool {
+        let age_s = wall_ms.saturating_sub(job.accepted_ms) as f64 / 1_000.0;
+        self.guarantee_s
+            .is_none_or(|within_s| age_s >= within_s - GUARANTEE_LEAD_S)
+    }
+
     /// Seconds a task of the job may wait, counted from acceptance, for the first thing expected
     /// of the job to be met.
     pub fn slack_s(&self, job: &Job) -> f64 {
--- a/crates/worksshunt-core/src/quota.rs
+++ b/crates/worksshunt-core/src/quota.rs
@@ -134,6 +134,22 @@
         times(cpus - used.cpus, job.spec.cpus).min(times(gpus - used.gpus, job.spec.gpus))
     }
 
+    /// The teams with nothing in use.
+    pub fn unused(&self) -> Quota {
+        Quota {
+            teams: self.teams.clone(),
+            ..Quota::default()
+        }
+    }
+
+    /// Counts all tasks of the job in; whether they fit into the team's guarantee beside what was
+    /// counted before.
+    pub fn fits_all(&mut self, job: &Job) -> bool {
+        let fits = self.guaranteed(job) >= job.spec.tasks;
+        self.take_many(job, job.spec.tasks);
+        fits
+    }
+
     /// Whether a team uses more than its guarantee even without some of its tasks.
     pub fn over_guarantee_without<'a>(
         &self,
--- a/crates/worksshunt-core/tests/stories/ordinary.rs
+++ b/crates/worksshunt-core/tests/stories/ordinary.rs
@@ -378,6 +378,36 @@
     world.check();
 }
 
+// Guards against urgent work that waits behind low work for as long as that is within its guarantee,
+// and against a guarantee that is not kept in time.
+#[test]
+fn a_guarantee_comes_before_urgent_work_only_when_it_presses() {
+    let mut world = World::new();
+    for settings in &mut world.settings {
+        let within = json!({"kind": "guarantee", "within_s": 60.0, "share": 0.9});
+        settings.facts.objectives = serde_json::from_value(json!([within])).expect("objectives");
+    }
+    (0..3).for_each(|node| world.start(node));
+    world.capacity = 2;
+    world.run_ms = 10_000;
+    world.run(3_000);
+    for id in 10..25 {
+        let mut urgent = job(id, 10);
+        urgent["Turno"] = json!("urgent");
+        world.submit(id as usize % 3, &urgent);
+    }
+    let mut low = job(1, 4);
+    low["Cuadrilla"] = json!("red");
+    low["Turno"] = json!("low");
+    world.submit(0, &low);
+    let began = |w: &World| w.starts.iter().any(|s| s.1.job == JobId(1));
+    world.run(30_000);
+    assert!(!began(&world), "urgent work comes first");
+    world.run(32_000);
+    assert!(began(&world), "but the guarantee is kept in time");
+    world.check();
+}
+
 #[test]
 fn work_does_not_stop_its_equals() {
     let mut world = full_fleet(12);
