A machine missing from a later list is gone: its tasks run again before its lease ends

Now: the protocol says that a listed machine stays listed until it is gone. Which of two pages of the list is the later one is told by the ages of machines on both; bounds on the list's lag are not relied on. Pages that share no machine, or are out of order, prove nothing.

Ruled out: reading the list less than 3 s apart (the lag of 6 s is most of the delay).

--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -271,6 +271,10 @@
 /// Milliseconds between two readings of the machine list.
 pub const LIST_EVERY_MS: u64 = 3_000;
 
+/// Seconds by which a list must be later than another for what is missing to be gone: more than ages
+/// are rounded by.
+pub const LIST_MARGIN_S: f64 = 1.0;
+
 /// Milliseconds between two readings of the catalogue once it is known.
 pub const CATALOG_EVERY_MS: u64 = 120_000;
 
--- a/crates/worksshunt-core/src/controller/events.rs
+++ b/crates/worksshunt-core/src/controller/events.rs
@@ -129,7 +129,7 @@
     /// None to be had.
     NoCapacity,
     /// The machine list.
-    List(MachineList),
+    List(Vec<MachineList>),
     /// The catalogue.
     Catalog(Catalog),
     /// No answer that helps.
--- a/crates/worksshunt-core/src/controller/requests.rs
+++ b/crates/worksshunt-core/src/controller/requests.rs
@@ -302,8 +302,8 @@
             (CloudRequest::Catalog, _) => self.catalog_turn.retry(now, CATALOG_RETRY_MS),
             (CloudRequest::List, reply) => {
                 self.list_turn.in_flight = false;
-                if let (CloudReply::List(list), Some(leader)) = (reply, &mut self.leader) {
-                    leader.fleet.listed(now, &list.machines);
+                if let (CloudReply::List(pages), Some(leader)) = (reply, &mut self.leader) {
+                    leader.fleet.listed(now, &pages);
                 }
             }
             (CloudRequest::Rent(request), reply) => {
--- a/crates/worksshunt-core/src/fleet.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -1,8 +1,12 @@
 //! Renting and returning machines. Only the leader does this.
 
+mod listing;
+
 use std::collections::{BTreeMap, BTreeSet};
 
-use worksshunt_wire::cloud::{Catalog, ListedMachine, ListedState, MachineNames, RentRequest};
+use worksshunt_wire::cloud::{
+    Catalog, ListedMachine, ListedState, MachineList, MachineNames, RentRequest,
+};
 use worksshunt_wire::peer::MachineUp;
 use worksshunt_wire::{Epoch, MachineId, TeamName};
 
@@ -15,6 +19,8 @@
 use crate::placement::Room;
 use crate::time::Time;
 
+use listing::Listings;
+
 /// One kind of machine that can be rented.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Offer {
@@ -128,6 +134,7 @@
     rent_in_flight: bool,
     return_in_flight: bool,
     gone: BTreeMap<MachineId, Time>,
+    listings: Listings,
     /// Nothing is rented before: machines rented by a former leader may not be listed yet.
     rent_from: Time,
     lag_ms: u64,
@@ -148,6 +155,7 @@
             rent_in_flight: false,
             return_in_flight: false,
             gone: BTreeMap::new(),
+            listings: Listings::default(),
             rent_from: now + wait,
             lag_ms,
         }
@@ -168,10 +176,21 @@
         self
     }
 
-    /// Takes in the machine list. Absence from it proves nothing for a while, so a machine that
-    /// is not listed is dropped only when it was not heard of either.
-    pub fn listed(&mut self, now: Time, list: &[ListedMachine]) {
-        for machine in list {
+    /// Takes in the pages of the machine list. A machine that was listed and is missing from a later
+    /// list is gone. One that was never listed is dropped only when it was not heard of either.
+    pub fn listed(&mut self, now: Time, pages: &[MachineList]) {
+        let mut after = None;
+        for page in pages {
+            for id in self.listings.page(after, page) {
+                if self.machines.remove(&id).is_some() {
+                    tracing::info!(machine = %id, "machine is no longer listed: gone");
+                }
+                self.gone.insert(id, now);
+            }
+            after = page.machines.last().map(|machine| &machine.id).or(after);
+        }
+        let list = || pages.iter().flat_map(|page| &page.machines);
+        for machine in list() {
             if self.gone.contains_key(&machine.id) {
                 continue;
             }
@@ -194,7 +213,7 @@
                 tracked.step(&machine.id, Stage::Draining);
             }
         }
-        let listed: BTreeSet<&MachineId> = list.iter().map(|m| &m.id).collect();
+        let listed: BTreeSet<&MachineId> = list().map(|m| &m.id).collect();
         let patience = self.lag_ms * 3;
         self.machines.retain(|id, tracked| {
             let last = tracked.heard.unwrap_or(tracked.since);
@@ -588,15 +607,19 @@
         .expect("catalog")
     }
 
-    fn listed(state: ListedState, age_s: f64) -> ListedMachine {
-        ListedMachine {
+    fn listed(state: ListedState, age_s: f64) -> [MachineList; 1] {
+        let machine = ListedMachine {
             id: "i-000001".into(),
             machine_type: "m4".into(),
             zone: "a".into(),
             spot: true,
             state,
             age_s,
-        }
+        };
+        [MachineList {
+            machines: vec![machine],
+            more: false,
+        }]
     }
 
     fn demand(tasks: u32, deadline_s: Option<f64>) -> Vec<Demand> {
@@ -628,7 +651,7 @@
     #[test]
     fn a_machine_that_is_up_counts_as_silent_only_from_its_first_sighting() {
         let mut fleet = Fleet::new(Epoch(2), Time(0), 5.0);
-        fleet.listed(Time(500_000), &[listed(ListedState::Running, 400.0)]);
+        fleet.listed(Time(500_000), &listed(ListedState::Running, 400.0));
         for now in [501_000, 520_000, 540_000] {
             assert_eq!(plan(&mut fleet, now, &[]), vec![], "at {now} ms");
         }
@@ -643,7 +666,7 @@
     #[test]
     fn a_machine_that_never_boots_goes_back() {
         let mut fleet = Fleet::new(Epoch(2), Time(0), 5.0);
-        fleet.listed(Time(100_000), &[listed(ListedState::Starting, 90.0)]);
+        fleet.listed(Time(100_000), &listed(ListedState::Starting, 90.0));
         plan(&mut fleet, 100_000, &[]);
         let requests = plan(&mut fleet, 101_000, &[]);
         assert!(matches!(&requests[..], [CloudRequest::Return(_)]));
--- a/crates/worksshunt-core/tests/stories/troubles.rs
+++ b/crates/worksshunt-core/tests/stories/troubles.rs
@@ -200,6 +200,22 @@
     world.check();
 }
 
+// Guards against tasks that wait for the end of a lease on a machine the cloud has taken without notice.
+#[test]
+fn tasks_of_a_machine_that_is_no_longer_listed_run_again_before_its_lease_ends() {
+    let mut world = ready_with_boots_of(50.0);
+    world.run_ms = 60_000;
+    world.submit(0, &long_job(1, 12));
+    world.until("tasks", 30_000, |w| w.running().len() == 12);
+    world.run(5_000);
+    let (_, task, taken) = world.starts[0].clone();
+    world.workers.remove(&taken);
+    world.run(14_000);
+    let again = world.starts.iter().filter(|s| s.1 == task).count();
+    assert_eq!(again, 2, "it runs elsewhere, 2 s before the lease is over");
+    world.check();
+}
+
 #[test]
 fn nothing_is_lost_when_all_controllers_are_left_with_their_workers() {
     let mut world = ready();
--- a/crates/worksshunt-core/tests/stories/world/mod.rs
+++ b/crates/worksshunt-core/tests/stories/world/mod.rs
@@ -863,7 +863,7 @@
         }
         match request {
             CloudRequest::Catalog => CloudReply::Catalog(catalog(self.ready_s)),
-            CloudRequest::List => CloudReply::List(MachineList {
+            CloudRequest::List => CloudReply::List(vec![MachineList {
                 machines: self
                     .workers
                     .iter()
@@ -882,7 +882,7 @@
                     })
                     .collect(),
                 more: false,
-            }),
+            }]),
             CloudRequest::Rent(rent) => {
                 if let Some(names) = self.rentals.get(&rent.request) {
                     return CloudReply::Machines(names.clone());
--- a/crates/worksshunt-net/src/cloud.rs
+++ b/crates/worksshunt-net/src/cloud.rs
@@ -86,21 +86,19 @@
 }
 
 async fn list(client: &HttpClient, deadline: Duration) -> Result<CloudReply, CallError> {
-    let mut all = MachineList::default();
+    let mut pages: Vec<MachineList> = Vec::new();
     loop {
-        let since = all
-            .machines
-            .last()
-            .map(|machine| format!("&Since={}", machine.id))
-            .unwrap_or_default();
+        let last = pages.last().and_then(|page| page.machines.last());
+        let since = last.map(|machine| format!("&Since={}", machine.id));
+        let since = since.unwrap_or_default();
         let path = format!("/machines?Most={CLOUD_PAGE}{since}");
         let Some(page) = get::<MachineList>(client, &path, deadline).await? else {
             return Ok(CloudReply::Failed);
         };
         let more = page.more && !page.machines.is_empty();
-        all.machines.extend(page.machines);
+        pages.push(page);
         if !more {
-            return Ok(CloudReply::List(all));
+            return Ok(CloudReply::List(pages));
         }
     }
 }
