A controller that the leader does not answer steps back from owning machines

Cause: while connections between controllers are refused the leader hands nothing to parts whose owners it does not hear, and in a new epoch it rented nothing until it had heard all.

Now: an owner without an answer of the leader for 6 s says in its member key that it owns no machines, as it does when workers do not reach it; the next epoch gives them to the others. It is fit again when the leader answers, 10 s later at the earliest.

--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -343,6 +343,15 @@
 /// ... doubled each time it was in vain, up to this.
 pub const REACH_RETRY_MAX_MS: u64 = 600_000;
 
+/// Milliseconds without an answer of the leader after which a controller steps back from owning
+/// machines. Longer than a leader is busy with records after a crash; a dead one is found out before
+/// by its hold.
+pub const LEADER_LOST_MS: u64 = 6_000;
+
+/// Milliseconds for which it stays back at the least, so that a link that fails now and then does not
+/// cost an epoch each time.
+pub const LEADER_RETRY_MS: u64 = 10_000;
+
 /// Slack for sums of decimal fractions, such as processors.
 pub const ROUNDING: f64 = 1e-6;
 
--- a/crates/worksshunt-core/src/controller/epochs.rs
+++ b/crates/worksshunt-core/src/controller/epochs.rs
@@ -257,6 +257,7 @@
             ..Load::default()
         };
         self.load_retry = Periodic::default();
+        self.leader_heard = now;
         let owners = self
             .membership
             .epoch()
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -28,6 +28,17 @@
 pub use events::{Action, CloudReply, Event, Lane, Loading, StoreOp, StoreReply, StoreTag};
 use writes::Lanes;
 
+/// Whether this controller is fit to own machines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fitness {
+    /// As far as it can tell.
+    Fit,
+    /// Workers do not reach it.
+    NoWorkers,
+    /// The leader does not answer it, so what it owns would be handed nothing.
+    NoLeader,
+}
+
 struct Leader {
     allotment: Allotment,
     fleet: Fleet,
@@ -68,8 +79,12 @@
     /// When a peer last said that the state service answers it, and that it does not.
     peer_well: Option<Time>,
     peer_unwell: Option<Time>,
-    reach_retry: Time,
-    reach_retry_ms: u64,
+    fitness: Fitness,
+    /// Not fit again before.
+    fit_from: Time,
+    fit_retry_ms: u64,
+    /// When the leader last answered, or another one began to lead.
+    leader_heard: Time,
     hold_turn: Periodic,
     control_turn: Periodic,
     propose_turn: Periodic,
@@ -118,8 +133,10 @@
             doubt_turn: Periodic::default(),
             peer_well: None,
             peer_unwell: None,
-            reach_retry: Time::default(),
-            reach_retry_ms: REACH_RETRY_MS,
+            fitness: Fitness::Fit,
+            fit_from: Time::default(),
+            fit_retry_ms: REACH_RETRY_MS,
+            leader_heard: Time::default(),
             hold_turn: Periodic::default(),
             control_turn: Periodic::default(),
             propose_turn: Periodic::default(),
@@ -196,6 +213,9 @@
             }
             Event::PeerAnswer(answer) => {
                 self.sync_turn.in_flight = false;
+                if answer.is_some() {
+                    self.leader_heard = now.steady;
+                }
                 match answer {
                     Some(PeerAnswer::Sync(down)) if down.epoch == self.membership.token() => {
                         self.apply_sync(now.steady, down);
@@ -280,7 +300,7 @@
             Standing::Serving => {
                 if self.membership.has_authority(t) {
                     self.part.tick(t);
-                    self.reach_turn(t);
+                    self.fitness_turn(t);
                 }
                 self.lead(now, budget, out);
             }
@@ -321,18 +341,42 @@
         }
     }
 
-    /// Steps back from owning machines while workers do not reach this controller, and offers itself
-    /// again from time to time: nothing else could show that they would.
-    fn reach_turn(&mut self, now: Time) {
-        if self.membership.reached() {
-            if self.part.unreached(now) {
-                self.membership.set_reached(false);
-                self.reach_retry = now + self.reach_retry_ms;
-                self.reach_retry_ms = (self.reach_retry_ms * 2).min(REACH_RETRY_MAX_MS);
+    /// Steps back from owning machines while workers do not reach this controller or the leader does
+    /// not answer it. While workers do not reach it, it offers itself again from time to time: nothing
+    /// else could show that they would.
+    fn fitness_turn(&mut self, now: Time) {
+        let leader_silent_ms = match self.membership.leads() {
+            true => 0,
+            false => now.since(self.leader_heard),
+        };
+        let next = match self.fitness {
+            Fitness::Fit if self.part.unreached(now) => Fitness::NoWorkers,
+            Fitness::Fit if leader_silent_ms >= LEADER_LOST_MS => Fitness::NoLeader,
+            Fitness::NoWorkers if now >= self.fit_from => Fitness::Fit,
+            Fitness::NoLeader if now >= self.fit_from && leader_silent_ms < PART_SILENT_MS => {
+                Fitness::Fit
+            }
+            same => same,
+        };
+        self.set_fitness(next, now);
+    }
+
+    /// The one place where the fitness changes.
+    fn set_fitness(&mut self, next: Fitness, now: Time) {
+        if next == self.fitness {
+            return;
+        }
+        tracing::info!(from = ?self.fitness, to = ?next, "fitness to own machines");
+        match next {
+            Fitness::Fit => {}
+            Fitness::NoWorkers => {
+                self.fit_from = now + self.fit_retry_ms;
+                self.fit_retry_ms = (self.fit_retry_ms * 2).min(REACH_RETRY_MAX_MS);
             }
-        } else if now >= self.reach_retry {
-            self.membership.set_reached(true);
+            Fitness::NoLeader => self.fit_from = now + LEADER_RETRY_MS,
         }
+        self.fitness = next;
+        self.membership.set_fit(next == Fitness::Fit);
     }
 
     fn mirror_turns(&mut self, now: Time, out: &mut Vec<Action>) {
--- a/crates/worksshunt-core/src/membership.rs
+++ b/crates/worksshunt-core/src/membership.rs
@@ -44,7 +44,7 @@
     pub leader: Member,
     /// All members, the leader among them, by name.
     pub members: Vec<Member>,
-    /// Members that own no machines, because workers do not reach them.
+    /// Members that own no machines: workers do not reach them, or the leader does not answer them.
     #[serde(default)]
     pub unreached: Vec<Member>,
 }
@@ -96,10 +96,10 @@
     hold: Option<u64>,
     epoch: Option<(EpochRecord, Revision)>,
     authority_until: Time,
-    /// Whether workers reach this controller, as far as it can tell.
-    reached: bool,
+    /// Whether this controller is fit to own machines, as far as it can tell.
+    fit: bool,
     /// What the member key says of that; none if it is not known to be written.
-    reached_said: Option<bool>,
+    fit_said: Option<bool>,
     /// What the member key that is being written says.
     saying: bool,
     /// Version of the member key as last read; none before that. Writing it is conditional on it, so
@@ -120,8 +120,8 @@
             hold: None,
             epoch: None,
             authority_until: Time::default(),
-            reached: true,
-            reached_said: None,
+            fit: true,
+            fit_said: None,
             saying: true,
             key_version: None,
             former_seen: false,
@@ -129,23 +129,15 @@
         }
     }
 
-    /// Notes whether workers reach this controller.
-    pub fn set_reached(&mut self, reached: bool) {
-        if self.reached != reached {
-            tracing::info!(reached, "workers reach this controller");
-            self.reached = reached;
-        }
-    }
-
-    /// Whether workers reach this controller, by the last note.
-    pub fn reached(&self) -> bool {
-        self.reached
+    /// Notes whether this controller is fit to own machines.
+    pub fn set_fit(&mut self, fit: bool) {
+        self.fit = fit;
     }
 
     /// Whether the member key has to be written: for the first time, or with something new.
     pub fn has_to_write_key(&self) -> bool {
         self.standing == Standing::Joining
-            || (self.hold.is_some() && self.reached_said != Some(self.reached))
+            || (self.hold.is_some() && self.fit_said != Some(self.fit))
     }
 
     /// Its name.
@@ -226,7 +218,7 @@
     /// The hold is gone, or its member key could not be written.
     pub fn lost_hold(&mut self) {
         self.hold = None;
-        self.reached_said = None;
+        self.fit_said = None;
         self.key_version = None;
         self.stand(Standing::Homeless);
     }
@@ -234,7 +226,7 @@
     /// The transaction that writes the member key, once its present version is known.
     pub fn join_txn(&mut self) -> Option<Txn> {
         let (hold, version) = (self.hold?, self.key_version?);
-        self.saying = self.reached;
+        self.saying = self.fit;
         let key = member_key(&self.me);
         Some(Txn {
             conditions: vec![Condition {
@@ -251,7 +243,7 @@
 
     /// The member key is written as [`Membership::join_txn`] last gave it.
     pub fn joined(&mut self, version: Revision) {
-        self.reached_said = Some(self.saying);
+        self.fit_said = Some(self.saying);
         self.key_version = Some(version);
         if self.standing == Standing::Joining {
             self.stand(Standing::Outside);
--- a/crates/worksshunt-core/tests/stories/troubles.rs
+++ b/crates/worksshunt-core/tests/stories/troubles.rs
@@ -216,6 +216,39 @@
     world.check();
 }
 
+// Guards against parts that stand idle, and a leader that rents nothing, for as long as connections
+// between controllers are refused.
+#[test]
+fn the_leader_takes_over_parts_whose_owners_do_not_reach_it() {
+    let mut world = ready_with_boots_of(50.0);
+    world.run_ms = 30_000;
+    for _ in 0..9 {
+        world.machine("a", true, 0);
+    }
+    world.run(10_000);
+    let leader = world.leader();
+    world.trouble.cut_from_peers = (0..3).filter(|node| *node != leader).collect();
+    world.crash(leader);
+    world.start(leader);
+    world.run(5_000);
+    world.submit(leader, &long_job(1, 36));
+    world.until("all at once", 25_000, |w| w.running().len() == 36);
+    let epoch = world.epoch();
+    world.submit(leader, &long_job(2, 4));
+    world.until("another machine", 10_000, |w| w.workers.len() > 9);
+    world.trouble.cut_from_peers.clear();
+    world.run(20_000);
+    assert!(
+        (epoch + 1..=epoch + 2).contains(&world.epoch()),
+        "both are back"
+    );
+    world.until("all tasks", 60_000, |w| {
+        w.all_done(1, 36) && w.all_done(2, 4)
+    });
+    assert_eq!(world.starts.len(), 40, "nothing was lost on the way");
+    world.check();
+}
+
 #[test]
 fn nothing_is_lost_when_all_controllers_are_left_with_their_workers() {
     let mut world = ready();
