Idle connections hold no buffers, exchanges with workers are boxed

Cause: each connection held 18 kB while it waited for its next request (buffer and state of decoding; 2,000 open connections, process alone). The state of a call to a worker was 18 kB in each future around it.

Now: a connection waits for something to read before anything is decoded: 1.7 kB each. One on which nothing comes for four report intervals, at least 20 s, is closed; before it was 60 s, long enough for a zone cut off twice to hold its sockets twice. An exchange is boxed.

--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -91,9 +91,10 @@
 /// changes, and users wait for it.
 pub const END_SHARE: f64 = 0.2;
 
-/// Share of the write limit that the leader uses for pages of completions. They are many to a page and
-/// nobody waits for them; with a share of their own they cannot keep the ends of jobs from theirs.
-pub const PAGE_SHARE: f64 = 0.1;
+/// Share of the write limit that the leader uses for pages of completions and of former epochs' records,
+/// half of it for each. They are many to a page and nobody waits for them; with a share of their own
+/// they cannot keep the ends of jobs from theirs.
+pub const PAGE_SHARE: f64 = 0.2;
 
 /// Share of the write limit that one controller uses for submissions and cancellations. They come in
 /// bursts at one controller or another; a 429 corrects what is too much together.
@@ -186,6 +187,11 @@
 /// most a few seconds, serves as well.
 pub const ORDERS_DEADLINE_MS: u64 = 2_000;
 
+/// Direct orders under way at a time: each takes a socket and some 20 KB until it is answered or given
+/// up, and when many machines hang together each is given up only at its deadline. The rest goes with
+/// the answers to reports.
+pub const ORDERS_AT_ONCE: usize = 512;
+
 /// Milliseconds without direct orders to a worker that left some unanswered.
 pub const ORDERS_PAUSE_MS: u64 = 10_000;
 
@@ -369,6 +375,13 @@
 /// connections need time to close.
 pub const ACCEPT_PAUSE_MS: u64 = 20;
 
+/// Report intervals without a request after which a connection is closed: its worker has died, was cut
+/// off or reports to another controller.
+pub const IDLE_REPORTS: f64 = 4.0;
+
+/// Milliseconds that a connection may be idle in any case: users ask every 5 s.
+pub const IDLE_CONNECTION_MS: u64 = 20_000;
+
 /// Connections to the state service: the long watch, the batch under way, renewal, control read,
 /// and room for users' reads.
 pub const STATE_CONNECTIONS: usize = 16;
--- a/crates/worksshunt-net/src/client.rs
+++ b/crates/worksshunt-net/src/client.rs
@@ -51,7 +51,9 @@
     ) -> Result<(u16, Vec<u8>), CallError> {
         within(deadline, async {
             let _slot = self.slots.acquire().await;
-            self.exchange(method, path, body).await
+            // In a box, because the state of an exchange takes some kilobytes, which every future around
+            // it would hold twice, from before it begins until after it has ended.
+            Box::pin(self.exchange(method, path, body)).await
         })
         .await?
     }
--- a/crates/worksshunt-net/src/server.rs
+++ b/crates/worksshunt-net/src/server.rs
@@ -4,14 +4,16 @@
 use std::net::{SocketAddr, TcpListener};
 use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 
+use async_h1::server::{ConnectionStatus, Server};
 use async_io::Async;
 use futures_lite::AsyncReadExt;
-use http_types::{Method, Response, StatusCode};
+use http_types::{Method, Request, Response, StatusCode};
 use worksshunt_core::constants::BODY_BYTES;
 use worksshunt_core::users::Reply;
 
-use crate::{accept, Executor, Stream};
+use crate::{accept, within, Executor, Stream};
 
 /// A request as the service sees it.
 #[derive(Debug)]
@@ -27,21 +29,23 @@
 /// What answers requests.
 pub type Handler = Rc<dyn Fn(Incoming) -> Pin<Box<dyn Future<Output = Reply>>>>;
 
-/// Accepts connections for ever, at most so many at a time.
+/// Accepts connections for ever, at most so many at a time. One on which nothing comes for as long as
+/// `idle` is closed: its peer may be dead or cut off.
 pub async fn serve(
     executor: Rc<Executor>,
     listener: Async<TcpListener>,
     connections: usize,
+    idle: Duration,
     handler: Handler,
 ) {
     accept(executor, listener, connections, |stream, from| {
-        connection(Stream::new(stream), from, Rc::clone(&handler))
+        connection(Stream::new(stream), from, idle, Rc::clone(&handler))
     })
     .await;
 }
 
-async fn connection(stream: Stream, from: SocketAddr, handler: Handler) {
-    let result = async_h1::accept(stream, |mut request| {
+async fn connection(stream: Stream, from: SocketAddr, idle: Duration, handler: Handler) {
+    let mut server = Server::new(stream.clone(), |mut request: Request| {
         let handler = Rc::clone(&handler);
         async move {
             let mut body = Vec::new();
@@ -57,10 +61,20 @@
             .await;
             Ok(respond(reply, fits))
         }
-    })
-    .await;
-    if let Err(error) = result {
-        tracing::debug!(%from, %error, "connection ended");
+    });
+    loop {
+        // Thousands of connections are idle at any time. Buffers, and the state of decoding, are there
+        // only while there is something to read.
+        match within(idle, stream.readable()).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => return tracing::debug!(%from, %error, "connection ended"),
+            Err(late) => return tracing::debug!(%from, %late, "idle connection closed"),
+        }
+        match Box::pin(server.accept_one()).await {
+            Ok(ConnectionStatus::KeepAlive) => {}
+            Ok(ConnectionStatus::Close) => return,
+            Err(error) => return tracing::debug!(%from, %error, "connection ended"),
+        }
     }
 }
 
--- a/crates/worksshunt/src/service.rs
+++ b/crates/worksshunt/src/service.rs
@@ -11,8 +11,8 @@
 use async_io::{Async, Timer};
 use http_types::Method;
 use worksshunt_core::constants::{
-    CLOUD_CONNECTIONS, CLOUD_DEADLINE_MS, ORDERS_DEADLINE_MS, OWN_SOCKETS, PEER_CONNECTIONS,
-    STATE_CONNECTIONS, SYNC_DEADLINE_MS, TICK_MS, WORKER_SHARE,
+    CLOUD_CONNECTIONS, CLOUD_DEADLINE_MS, IDLE_CONNECTION_MS, IDLE_REPORTS, ORDERS_DEADLINE_MS,
+    OWN_SOCKETS, PEER_CONNECTIONS, STATE_CONNECTIONS, SYNC_DEADLINE_MS, TICK_MS, WORKER_SHARE,
 };
 use worksshunt_core::controller::{Action, Controller, Event};
 use worksshunt_core::placement::Parameters;
@@ -54,6 +54,8 @@
     let free = settings.facts.limits.sockets.saturating_sub(OWN_SOCKETS);
     let worker_connections = free / WORKER_SHARE;
     let connections = free - worker_connections;
+    let quiet = Duration::from_secs_f64(settings.facts.workers.report_s * IDLE_REPORTS);
+    let idle = quiet.max(Duration::from_millis(IDLE_CONNECTION_MS));
     let peers = settings
         .known
         .iter()
@@ -94,6 +96,7 @@
             Rc::clone(&executor),
             users,
             connections,
+            idle,
             handler,
         ))
         .detach();
