Former epochs' records take turns with completions in being written; orders are bounded

It had read 32,000 attempts where 11,000 tasks ran: pages of former epochs are written anew by the leader's lane for pages, in which pending completions always came first and used up its share, so nothing was ever dropped from them while tasks completed.

The story fails without the turns.

--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -223,6 +223,8 @@
     pages: Pages<Completions>,
     /// Machines' records of former epochs, with the attempts that may still be on machines.
     former: Pages<Recorded>,
+    /// Which of the two was first in the last write.
+    former_first: bool,
 }
 
 /// What a new leader finds in the store.
@@ -264,6 +266,7 @@
             due: BTreeSet::new(),
             pages: Pages::new(DONE.to_owned(), page_bytes(&facts.state)),
             former: Pages::new(RECORDS.to_owned(), page_bytes(&facts.state)),
+            former_first: false,
         };
         for (id, open) in mirror.open() {
             this.jobs.insert(*id, Work::new(Rc::clone(&open.job)));
@@ -524,10 +527,19 @@
         self.due.remove(&Due::Finish(id));
     }
 
-    /// The next write of completions, and of records of former epochs, of at most so many pages.
+    /// The next write of completions, and of records of former epochs, of at most so many pages. They
+    /// take turns at being first: on a busy day there are always completions to be written, and records
+    /// that nothing is dropped from mislead the next epoch by all that has ended since.
     pub fn pages_write(&mut self, now: Time, most: usize) -> Vec<PageWrite> {
-        let mut writes = self.pages.write(now, most);
-        writes.extend(self.former.write(now, most - writes.len()));
+        self.former_first = !self.former_first;
+        let mut writes = Vec::new();
+        if self.former_first {
+            writes = self.former.write(now, most);
+        }
+        writes.extend(self.pages.write(now, most - writes.len()));
+        if !self.former_first {
+            writes.extend(self.former.write(now, most - writes.len()));
+        }
         writes
     }
 
--- a/crates/worksshunt-core/src/allotment/parts.rs
+++ b/crates/worksshunt-core/src/allotment/parts.rs
@@ -41,7 +41,7 @@
 }
 
 /// Something an owner has to be told once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Down {
     Give(Attempt),
     Stop(Attempt),
@@ -65,8 +65,9 @@
     pub machines: BTreeMap<MachineId, MachineView>,
     /// Machines with room.
     pub open: BTreeSet<MachineId>,
-    /// What its owner has to be told, each with the number of the answer that said it last.
-    outbox: Vec<(u64, Down)>,
+    /// What its owner has to be told, each with the number of the answer that said it last. It is there
+    /// once, however often an owner that is not answered in time gives cause for it.
+    outbox: BTreeMap<Down, u64>,
     /// What its owner was last told of its machines, and in which answer.
     wishes: Option<(u64, Wishes)>,
     progress_at: Option<Time>,
@@ -74,7 +75,7 @@
 
 impl PartView {
     pub fn post(&mut self, down: Down) {
-        self.outbox.push((UNSENT, down));
+        self.outbox.insert(down, UNSENT);
     }
 
     /// Whether its owner speaks with the leader.
@@ -144,7 +145,7 @@
         part.seen = up.seen;
         part.heard = now;
         part.outbox
-            .retain(|(sent, _)| *sent == UNSENT || *sent > up.seen);
+            .retain(|_, sent| *sent == UNSENT || *sent > up.seen);
         for ended in &up.ended {
             let known = self.remove_out(ended.attempt, ended.how, now).is_some();
             if known && ended.how != End::Settled {
@@ -185,7 +186,7 @@
     pub fn take_back(&mut self, now: Time) {
         let mut untold = Vec::new();
         for part in self.parts.values_mut().filter(|part| !part.speaks(now)) {
-            part.outbox.retain(|message| match message {
+            part.outbox.retain(|message, sent| match (*sent, message) {
                 (UNSENT, Down::Give(attempt)) => {
                     untold.push(*attempt);
                     false
@@ -258,7 +259,7 @@
             progress,
             ..SyncDown::default()
         };
-        for (sent, message) in &mut part.outbox {
+        for (message, sent) in &mut part.outbox {
             *sent = part.answers;
             match message {
                 Down::Give(attempt) => {
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -79,6 +79,8 @@
     /// When a peer last said that the state service answers it, and that it does not.
     peer_well: Option<Time>,
     peer_unwell: Option<Time>,
+    /// Direct orders under way, those of former epochs among them.
+    orders_out: usize,
     fitness: Fitness,
     /// Not fit again before.
     fit_from: Time,
@@ -133,6 +135,7 @@
             doubt_turn: Periodic::default(),
             peer_well: None,
             peer_unwell: None,
+            orders_out: 0,
             fitness: Fitness::Fit,
             fit_from: Time::default(),
             fit_retry_ms: REACH_RETRY_MS,
@@ -183,6 +186,7 @@
             Event::Store(tag, sent, reply) => self.store(now, tag, sent, reply, &mut out),
             Event::Cloud(request, reply) => self.cloud(now.steady, &request, reply),
             Event::Ordered(orders, reply) => {
+                self.orders_out = self.orders_out.saturating_sub(1);
                 if let (true, Some(catalog)) = (
                     orders.orders.token == self.membership.token(),
                     &self.catalog,
@@ -239,9 +243,10 @@
         self.part.place(t, &self.mirror, budget);
         if self.membership.has_authority(t) {
             self.write_turns(t, out);
-            for orders in self.part.direct_orders(t, self.membership.token()) {
-                out.push(Action::Orders(orders));
-            }
+            let most = ORDERS_AT_ONCE.saturating_sub(self.orders_out);
+            let all = self.part.direct_orders(t, self.membership.token(), most);
+            self.orders_out += all.len();
+            out.extend(all.into_iter().map(Action::Orders));
         }
     }
 
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -65,6 +65,8 @@
     pages: Pages<Recorded>,
     /// Machines that direct orders wait for.
     to_order: BTreeSet<MachineId>,
+    /// Machines that direct orders will wait for, from a moment on.
+    order_later: BTreeSet<(Time, MachineId)>,
     outgoing: Outgoing,
     over_capacity: OverCapacity,
 }
@@ -89,6 +91,7 @@
             placeable: false,
             pages: Pages::new(String::new(), page_bytes),
             to_order: BTreeSet::new(),
+            order_later: BTreeSet::new(),
             outgoing: Outgoing::default(),
             over_capacity: OverCapacity::default(),
         }
@@ -218,6 +221,7 @@
         self.open.clear();
         self.queue.clear();
         self.to_order.clear();
+        self.order_later.clear();
         self.pages = Pages::new(String::new(), self.page_bytes);
         self.outgoing = Outgoing::default();
     }
--- a/crates/worksshunt-core/src/machines/reports.rs
+++ b/crates/worksshunt-core/src/machines/reports.rs
@@ -346,11 +346,18 @@
         commands
     }
 
-    /// Launches, stops and probes that can go straight to workers now. Only with authority.
-    pub fn direct_orders(&mut self, now: Time, token: Epoch) -> Vec<DirectOrders> {
+    /// Launches, stops and probes that can go straight to workers now, for at most so many machines. Only
+    /// with authority. What finds no place goes with the answer to the machine's next report.
+    pub fn direct_orders(&mut self, now: Time, token: Epoch, most: usize) -> Vec<DirectOrders> {
         let mut all = Vec::new();
-        let waiting = std::mem::take(&mut self.to_order);
-        for id in waiting {
+        while self.order_later.first().is_some_and(|(at, _)| *at <= now) {
+            self.to_order
+                .extend(self.order_later.pop_first().map(|(_, id)| id));
+        }
+        while all.len() < most {
+            let Some(id) = self.to_order.pop_first() else {
+                break;
+            };
             let Some(machine) = self.machines.get_mut(&id) else {
                 continue;
             };
@@ -359,8 +366,12 @@
                 // The next report of it puts it back here.
                 continue;
             }
-            if machine.ordering || now < machine.order_from {
-                self.to_order.insert(id);
+            if machine.ordering {
+                // So does what becomes of the orders under way.
+                continue;
+            }
+            if now < machine.order_from {
+                self.order_later.insert((machine.order_from, id));
                 continue;
             }
             let session = machine.newest.0;
--- a/crates/worksshunt-core/tests/stories/troubles.rs
+++ b/crates/worksshunt-core/tests/stories/troubles.rs
@@ -266,6 +266,31 @@
     world.check();
 }
 
+// Guards against records of former epochs that are never written anew while completions always come
+// first: the next epoch takes all that has ended since for work that may still be there, and at full
+// size its leader ran out of memory.
+#[test]
+fn records_of_former_epochs_go_while_tasks_complete() {
+    let mut world = World::new();
+    for settings in &mut world.settings {
+        settings.facts.state.write_rps = 6.0;
+    }
+    (0..3).for_each(|node| world.start(node));
+    world.run(4_000);
+    world.run_ms = 2_000;
+    world.submit(0, &long_job(1, 4_000));
+    world.until("tasks", 30_000, |w| w.running().len() == 40);
+    world.run(10_000);
+    (0..3).for_each(|node| world.crash(node));
+    (0..3).for_each(|node| world.start(node));
+    let former = format!("a/{}.", world.epoch());
+    let before = world.starts.len();
+    world.run(20_000);
+    assert_eq!(world.keys(&former), Vec::<String>::new());
+    assert!(world.starts.len() > before + 100, "tasks went on");
+    world.check();
+}
+
 // Guards against former lives that are taken for present ones: holds still alive, names used again.
 #[test]
 fn controllers_back_within_a_moment_share_one_leader_and_repeat_no_number() {
