Four rentals at a time; waits for machines follow from the settings' reports and leases

Four may be under way now, each counted as supply from when it is asked for.

And three waits assumed reports every 2.5 s and leases of 16 s, where the fleet sites have 5 and 26.5 s: a machine that runs counts as supply for four reports without having been heard of (10 s before: a worker of a crashed controller needs up to 11 s there to find its new owner, and its replacement was rented meanwhile), one not reached goes back after 2.5 leases. The floor under idle time was called four reports and is a sixth of what a machine costs at the least. Newest reports are remembered for 8,192 machines.

Ruled out: the cloud's rate (8 a second, 6.4 used at the most), epochs at the start.

--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -202,12 +202,13 @@
 /// report may have left before the first answer came, one answer may have been lost.
 pub const UNHEEDED_ANSWERS: u32 = 4;
 
-/// Milliseconds after which a machine that is heard but not reached goes back: more than two leases,
-/// so a machine that merely hung has had its chance.
-pub const UNREACHED_RETURN_MS: u64 = 40_000;
+/// Leases after which a machine that is heard but not reached goes back: more than two, so a machine
+/// that merely hung has had its chance.
+pub const UNREACHED_RETURN_LEASES: f64 = 2.5;
 
-/// Machines outside the part whose newest report is remembered, to know late copies by.
-pub const SIGHTINGS_KEPT: usize = 4_096;
+/// Machines outside the part whose newest report is remembered, to know late copies by: several times
+/// the largest fleet asked for (1,850), at some 100 bytes each.
+pub const SIGHTINGS_KEPT: usize = 8_192;
 
 /// Milliseconds a part may hold a task it finds no machine for before handing it back.
 pub const QUEUED_MS: u64 = 4_000;
@@ -296,6 +297,10 @@
 /// Machines in one rental request (protocol).
 pub const RENT_MOST: u32 = 50;
 
+/// Rental requests under way at a time. Answers take some 200 ms, so that one after the other they would
+/// take a second for 250 machines.
+pub const RENTALS_AT_ONCE: usize = 4;
+
 /// Machines in one return request (protocol).
 pub const RETURN_MOST: usize = 100;
 
@@ -316,12 +321,14 @@
 /// is kept for less long would often be missed before another is up.
 pub const IDLE_BOOTS: f64 = 0.5;
 
-/// Milliseconds a machine stays empty at the least, however fast its type boots: four reports.
+/// Milliseconds a machine stays empty at the least, however fast its type boots: a sixth of what one
+/// costs at the least.
 pub const IDLE_LEAST_MS: u64 = 10_000;
 
-/// Milliseconds a machine that the cloud lists as running counts as one that will take work without
-/// having been heard of: four reports. At the start of an epoch all are like that for a moment.
-pub const UNHEARD_SUPPLY_MS: u64 = 10_000;
+/// Report intervals for which a machine that the cloud lists as running counts as one that will take
+/// work without having been heard of. After a crash a worker may need a report, its deadline and a
+/// redirect to find its new owner.
+pub const UNHEARD_REPORTS: f64 = 4.0;
 
 /// Times the nominal boot time after which a starting machine is given up ...
 pub const BOOT_FACTOR: f64 = 3.0;
--- a/crates/worksshunt-core/src/controller/epochs.rs
+++ b/crates/worksshunt-core/src/controller/epochs.rs
@@ -386,7 +386,7 @@
                 allotment: Allotment::load(now, epoch.number, &names, facts, &self.mirror, &found),
                 fleet: match load.fleet {
                     Some(fleet) if fleet.epoch() == just_before => fleet.carried_over(epoch.number),
-                    _ => Fleet::new(epoch.number, now, facts.cloud.list_lag_s),
+                    _ => Fleet::new(epoch.number, now, &facts.cloud, &facts.workers),
                 },
             });
             tracing::info!(epoch = %epoch.number, members = names.len(), "leading");
--- a/crates/worksshunt-core/src/fleet/mod.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -8,12 +8,13 @@
     Catalog, ListedMachine, ListedState, MachineList, MachineNames, RentRequest,
 };
 use worksshunt_wire::peer::MachineUp;
+use worksshunt_wire::settings::{CloudLimits, Workers};
 use worksshunt_wire::{Epoch, MachineId, TeamName};
 
 use crate::allotment::{Demand, MachineView};
 use crate::constants::{
-    BOOT_EXTRA_S, BOOT_FACTOR, IDLE_BOOTS, IDLE_LEAST_MS, RENT_MOST, RENT_REFUSED_MS, RETURN_MOST,
-    ROUNDING, UNHEARD_SUPPLY_MS,
+    BOOT_EXTRA_S, BOOT_FACTOR, IDLE_BOOTS, IDLE_LEAST_MS, RENTALS_AT_ONCE, RENT_MOST,
+    RENT_REFUSED_MS, RETURN_MOST, ROUNDING, UNHEARD_REPORTS,
 };
 use crate::jobs::Job;
 use crate::placement::Room;
@@ -122,6 +123,13 @@
     Catalog,
 }
 
+/// A rental request that is not answered. It is repeated under its name until it is.
+#[derive(Debug)]
+struct Rental {
+    request: RentRequest,
+    in_flight: bool,
+}
+
 /// The leader's view of the rented machines.
 #[derive(Debug)]
 pub struct Fleet {
@@ -129,21 +137,22 @@
     requests: u64,
     machines: BTreeMap<MachineId, Tracked>,
     refused_until: BTreeMap<Offer, Time>,
-    /// The rental request under way; repeated under its name until it is answered.
-    renting: Option<RentRequest>,
-    rent_in_flight: bool,
+    /// The rental requests under way.
+    renting: Vec<Rental>,
     return_in_flight: bool,
     gone: BTreeMap<MachineId, Time>,
     listings: Listings,
     /// Nothing is rented before: machines rented by a former leader may not be listed yet.
     rent_from: Time,
     lag_ms: u64,
+    /// How long a machine that runs counts as one that will take work without having been heard of.
+    unheard_ms: u64,
 }
 
 impl Fleet {
     /// Starts at the start of an epoch.
-    pub fn new(epoch: Epoch, now: Time, list_lag_s: f64) -> Fleet {
-        let lag_ms = (list_lag_s * 1_000.0) as u64;
+    pub fn new(epoch: Epoch, now: Time, cloud: &CloudLimits, workers: &Workers) -> Fleet {
+        let lag_ms = (cloud.list_lag_s * 1_000.0) as u64;
         // The first epoch has no former leader.
         let wait = if epoch.0 <= 1 { 0 } else { lag_ms };
         Fleet {
@@ -151,13 +160,13 @@
             requests: 0,
             machines: BTreeMap::new(),
             refused_until: BTreeMap::new(),
-            renting: None,
-            rent_in_flight: false,
+            renting: Vec::new(),
             return_in_flight: false,
             gone: BTreeMap::new(),
             listings: Listings::default(),
             rent_from: now + wait,
             lag_ms,
+            unheard_ms: (workers.report_s * 1_000.0 * UNHEARD_REPORTS) as u64,
         }
     }
 
@@ -171,7 +180,9 @@
         self.epoch = epoch;
         self.requests = 0;
         // Answers may have come while nobody led: both are asked for again, under their names.
-        self.rent_in_flight = false;
+        for rental in &mut self.renting {
+            rental.in_flight = false;
+        }
         self.return_in_flight = false;
         self
     }
@@ -276,24 +287,36 @@
             let cpus = catalog.get(&offer.machine_type).map_or(0.0, |t| t.cpus);
             *there.entry(offer.clone()).or_default() += cpus;
         }
-        let left = unserved(&mut supply, demand);
+        let mut left = unserved(&mut supply, demand);
         if let Some(names) = self.returns(now, catalog, &machines) {
             self.return_in_flight = true;
             requests.push(CloudRequest::Return(names));
         }
-        if !self.rent_in_flight && now >= self.rent_from {
-            if self.renting.is_none() {
-                self.renting = self.rental(now, catalog, &there, &left, demand);
-            }
-            if let Some(request) = &self.renting {
-                self.rent_in_flight = true;
-                requests.push(CloudRequest::Rent(request.clone()));
-            }
+        if now < self.rent_from {
+            return requests;
+        }
+        for rental in self.renting.iter_mut().filter(|r| !r.in_flight) {
+            rental.in_flight = true;
+            requests.push(CloudRequest::Rent(rental.request.clone()));
+        }
+        while self.renting.len() < RENTALS_AT_ONCE {
+            let Some(request) = self.rental(now, catalog, &there, &left, demand) else {
+                break;
+            };
+            let mut asked = asked_for(&request, catalog);
+            *there.entry(Offer::from(&request)).or_default() +=
+                asked.iter().map(|(_, room)| room.cpus).sum::<f64>();
+            left = unserved(&mut asked, &left);
+            self.renting.push(Rental {
+                request: request.clone(),
+                in_flight: true,
+            });
+            requests.push(CloudRequest::Rent(request));
         }
         requests
     }
 
-    /// Machines that take tasks, and those that boot, with the room on each.
+    /// Machines that take tasks, those that boot and those asked for, with the room on each.
     fn supply(
         &self,
         now: Time,
@@ -309,12 +332,14 @@
             .values()
             .filter(|t| t.stage == Stage::Booting)
             // One that runs and is not heard of will hardly do any work.
-            .filter(|t| t.running.is_none_or(|at| now.since(at) < UNHEARD_SUPPLY_MS))
+            .filter(|t| t.running.is_none_or(|at| now.since(at) < self.unheard_ms))
             .filter_map(|t| {
                 let room = Room::of_type(catalog.get(&t.offer.machine_type)?);
                 Some((t.offer.clone(), room))
             });
-        up.chain(booting).collect()
+        let asked = self.renting.iter();
+        let asked = asked.flat_map(|rental| asked_for(&rental.request, catalog));
+        up.chain(booting).chain(asked).collect()
     }
 
     /// The next rental, for the kind of machine that most of the unserved demand wants.
@@ -335,6 +360,9 @@
         for tracked in self.machines.values() {
             *in_zone.entry(&tracked.offer.zone).or_default() += 1;
         }
+        for Rental { request, .. } in &self.renting {
+            *in_zone.entry(&request.zone).or_default() += request.count as usize;
+        }
         for demand in left {
             let Some((offer, slots)) = self.best_offer(now, catalog, demand, &in_zone) else {
                 continue;
@@ -509,16 +537,17 @@
 
     /// A rental request has no answer; it is repeated under its name.
     pub fn rent_unanswered(&mut self, request: &str) {
-        if self.renting.as_ref().is_some_and(|r| r.request == request) {
-            self.rent_in_flight = false;
+        let mut renting = self.renting.iter_mut();
+        if let Some(rental) = renting.find(|r| r.request.request == request) {
+            rental.in_flight = false;
         }
     }
 
-    /// The request under way, if the answer is to that one and not to a former leader's.
+    /// The request under way of that name, if the answer is not to a former leader's.
     fn answered(&mut self, request: &str) -> Option<RentRequest> {
-        let answered = self.renting.take_if(|r| r.request == request)?;
-        self.rent_in_flight = false;
-        Some(answered)
+        let mut renting = self.renting.iter();
+        let index = renting.position(|r| r.request.request == request)?;
+        Some(self.renting.swap_remove(index).request)
     }
 
     /// A return request was answered; on success the machines are gone.
@@ -533,6 +562,15 @@
     }
 }
 
+/// What a rental brings if it is granted in full.
+fn asked_for(request: &RentRequest, catalog: &Catalog) -> Vec<(Offer, Room)> {
+    let Some(machine_type) = catalog.get(&request.machine_type) else {
+        return Vec::new();
+    };
+    let machine = (Offer::from(request), Room::of_type(machine_type));
+    vec![machine; request.count as usize]
+}
+
 /// Demand that the supply will not serve at once. Takes what it does serve out of the supply.
 fn unserved(supply: &mut Vec<(Offer, Room)>, demand: &[Demand]) -> Vec<Demand> {
     let mut left = Vec::new();
@@ -607,6 +645,14 @@
         .expect("catalog")
     }
 
+    fn fleet(epoch: u64) -> Fleet {
+        let cloud = serde_json::json!({"rps": 5.0, "list_lag_s": 5.0});
+        let workers = serde_json::json!({"report_s": 2.5, "lease_s": 16.0, "cancel_s": 30.0});
+        let cloud = serde_json::from_value(cloud).expect("limits");
+        let workers = serde_json::from_value(workers).expect("workers");
+        Fleet::new(Epoch(epoch), Time(0), &cloud, &workers)
+    }
+
     fn listed(state: ListedState, age_s: f64) -> [MachineList; 1] {
         let machine = ListedMachine {
             id: "i-000001".into(),
@@ -647,10 +693,29 @@
         fleet.plan(Time(now), &catalog(), std::iter::empty(), demand)
     }
 
+    // Guards against minutes until a large fleet is there again, and against asking for it twice.
+    #[test]
+    fn a_large_fleet_is_asked_for_in_several_requests_at_once() {
+        let mut fleet = fleet(1);
+        let mut asked = 0;
+        for now in (0..5_000).step_by(1_000) {
+            for request in plan(&mut fleet, now, &demand(2_400, None)) {
+                let CloudRequest::Rent(rent) = request else {
+                    panic!("{request:?}");
+                };
+                asked += rent.count;
+                let names = (asked - rent.count..asked).map(|n| MachineId(format!("i-{n:06}")));
+                let machines = names.collect();
+                fleet.rented(Time(now), &rent.request, &MachineNames { machines });
+            }
+        }
+        assert_eq!(asked, 600, "four tasks on each");
+    }
+
     // Guards against a new leader that returns machines for being old and not heard of yet.
     #[test]
     fn a_machine_that_is_up_counts_as_silent_only_from_its_first_sighting() {
-        let mut fleet = Fleet::new(Epoch(2), Time(0), 5.0);
+        let mut fleet = fleet(2);
         fleet.listed(Time(500_000), &listed(ListedState::Running, 400.0));
         for now in [501_000, 520_000, 540_000] {
             assert_eq!(plan(&mut fleet, now, &[]), vec![], "at {now} ms");
@@ -665,7 +730,7 @@
 
     #[test]
     fn a_machine_that_never_boots_goes_back() {
-        let mut fleet = Fleet::new(Epoch(2), Time(0), 5.0);
+        let mut fleet = fleet(2);
         fleet.listed(Time(100_000), &listed(ListedState::Starting, 90.0));
         plan(&mut fleet, 100_000, &[]);
         let requests = plan(&mut fleet, 101_000, &[]);
@@ -674,7 +739,7 @@
 
     #[test]
     fn spot_machines_come_first_and_ordinary_ones_when_they_are_refused() {
-        let mut fleet = Fleet::new(Epoch(1), Time(0), 5.0);
+        let mut fleet = fleet(1);
         let first = plan(&mut fleet, 0, &demand(8, Some(900.0)));
         let [CloudRequest::Rent(first)] = &first[..] else {
             panic!("{first:?}");
@@ -683,7 +748,7 @@
         assert_eq!(
             plan(&mut fleet, 1_000, &demand(8, Some(900.0))),
             vec![],
-            "one at a time"
+            "what was asked for counts"
         );
         fleet.rent_unanswered(&first.request);
         let again = plan(&mut fleet, 2_000, &demand(8, Some(900.0)));
--- a/crates/worksshunt-core/src/machines/machine.rs
+++ b/crates/worksshunt-core/src/machines/machine.rs
@@ -6,7 +6,7 @@
 use worksshunt_wire::peer::Phase;
 use worksshunt_wire::{Attempt, JobId, Session, TaskId};
 
-use crate::constants::{FAULTY_JOBS, UNHEEDED_ANSWERS, UNREACHED_RETURN_MS};
+use crate::constants::{FAULTY_JOBS, UNHEEDED_ANSWERS};
 use crate::jobs::Job;
 use crate::placement::Room;
 use crate::time::Time;
@@ -127,6 +127,15 @@
     Doubtful { since: Time },
 }
 
+/// How long is waited for a machine; derived from the settings.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Patience {
+    /// Without a report until it gets no tasks, ms.
+    pub silent_ms: u64,
+    /// Without proof that it is reached until it goes back, ms.
+    pub unreached_ms: u64,
+}
+
 /// What the leader is told of a machine, apart from what never changes.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub(super) struct Summary {
@@ -249,7 +258,7 @@
             .max(share(free.memory_gb, info.room.memory_gb))
     }
 
-    pub fn usable(&self, now: Time, silent_ms: u64) -> bool {
+    pub fn usable(&self, now: Time, patience: Patience) -> bool {
         self.info.is_some()
             && !self.lost
             && !self.draining
@@ -257,20 +266,20 @@
             && self.reach == Reach::Proven
             && self.failing.len() < FAULTY_JOBS
             && self.notice.is_none()
-            && now.since(self.heard) <= silent_ms
+            && now.since(self.heard) <= patience.silent_ms
     }
 
-    pub fn summarize(&self, now: Time, silent_ms: u64) -> Summary {
+    pub fn summarize(&self, now: Time, patience: Patience) -> Summary {
         let since = match self.reach {
             Reach::Proven => None,
             Reach::Unproven { since } | Reach::Doubtful { since } => Some(since),
         };
-        let unreached = since.is_some_and(|since| now.since(since) >= UNREACHED_RETURN_MS);
+        let unreached = since.is_some_and(|since| now.since(since) >= patience.unreached_ms);
         let proven_once = !matches!(self.reach, Reach::Unproven { .. });
         Summary {
             // A machine is not spoken of before it is known to be there now.
             known: self.info.is_some() && (proven_once || unreached),
-            usable: self.usable(now, silent_ms),
+            usable: self.usable(now, patience),
             empty: self.held.is_empty(),
             noticed: self.notice.is_some(),
             unreached,
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -22,7 +22,7 @@
 
 use crate::constants::{
     AUTHORITY_MS, CLOCK_DRIFT, LEASE_MARGIN_MS, QUEUED_MS, SILENT_REPORTS, UNREACHED_MACHINES,
-    UNREACHED_REPORTS,
+    UNREACHED_REPORTS, UNREACHED_RETURN_LEASES,
 };
 use crate::jobs::{Job, Mirror};
 use crate::pages::{page_bytes, PageWrite, Pages};
@@ -31,7 +31,7 @@
 use crate::time::{Budget, Time};
 
 use exchange::Outgoing;
-use machine::{Held, HeldState, Machine, Reach, Summary};
+use machine::{Held, HeldState, Machine, Patience, Reach, Summary};
 use reports::Sightings;
 pub use reports::{DirectOrders, OrdersReply};
 
@@ -46,7 +46,8 @@
 pub struct Part {
     parameters: Parameters,
     lease_ms: u64,
-    silent_ms: u64,
+    patience: Patience,
+    /// Without a report of any of several machines until workers do not reach this controller.
     unreached_ms: u64,
     page_bytes: usize,
     machines: BTreeMap<MachineId, Machine>,
@@ -78,7 +79,10 @@
         Part {
             parameters,
             lease_ms: (workers.lease_s * 1_000.0 * (1.0 + CLOCK_DRIFT)) as u64 + LEASE_MARGIN_MS,
-            silent_ms: (workers.report_s * 1_000.0 * SILENT_REPORTS) as u64,
+            patience: Patience {
+                silent_ms: (workers.report_s * 1_000.0 * SILENT_REPORTS) as u64,
+                unreached_ms: (workers.lease_s * 1_000.0 * UNREACHED_RETURN_LEASES) as u64,
+            },
             unreached_ms: (workers.report_s * 1_000.0 * UNREACHED_REPORTS) as u64,
             page_bytes,
             machines: BTreeMap::new(),
@@ -285,12 +289,12 @@
 
     /// Takes note of what changed about a machine: its room, and what the leader should hear.
     fn look_at(&mut self, id: &MachineId, now: Time) {
-        let silent_ms = self.silent_ms;
+        let patience = self.patience;
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
         let before = machine.summary;
-        let after = machine.summarize(now, silent_ms);
+        let after = machine.summarize(now, patience);
         if after.empty {
             machine.empty_since.get_or_insert(now);
         } else {
@@ -425,7 +429,7 @@
                 if machine.held.values().all(durable) {
                     forget.push(id.clone());
                 }
-            } else if machine.summarize(now, self.silent_ms) != machine.summary {
+            } else if machine.summarize(now, self.patience) != machine.summary {
                 look.push(id.clone());
             }
             if machine.notice.is_some() && !machine.held.is_empty() {
@@ -591,7 +595,7 @@
             };
             let fits = mine
                 && machine.summary.free.holds(&need)
-                && machine.usable(now, self.silent_ms)
+                && machine.usable(now, self.patience)
                 && again == machine.failing.contains(&job.spec.id)
                 && job.allows(&info.machine_type, &info.zone, info.spot)
                 && give.zone.as_ref().is_none_or(|zone| *zone == info.zone);
--- a/crates/worksshunt-core/src/machines/reports.rs
+++ b/crates/worksshunt-core/src/machines/reports.rs
@@ -113,7 +113,7 @@
         direct: bool,
     ) {
         let id = &report.machine;
-        let silent_ms = self.silent_ms;
+        let silent_ms = self.patience.silent_ms;
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
@@ -362,7 +362,7 @@
                 continue;
             };
             let Some(info) = &machine.info else { continue };
-            if machine.lost || now.since(machine.heard) > self.silent_ms {
+            if machine.lost || now.since(machine.heard) > self.patience.silent_ms {
                 // The next report of it puts it back here.
                 continue;
             }
