Guarantees that press are kept beyond the jobs users count, after those

Cause: since only jobs that fit into the guarantee by submission came before higher priority, a team with one job larger than its guarantee had no claim to it until its priority's turn came.

Now: what presses comes first by use as before the round, the jobs that fit by submission ahead of the others.

--- a/crates/worksshunt-core/src/allotment/handout.rs
+++ b/crates/worksshunt-core/src/allotment/handout.rs
@@ -20,7 +20,7 @@
 enum Pass {
     /// It has had nothing for so long that it gets a share of its tasks before all others.
     Starved,
-    /// It lies within its team's guarantee and would soon have waited too long for that.
+    /// Its team is within its guarantee, and it would soon have waited too long for that.
     Pressing,
     /// What leaves its team within its guarantee.
     Guaranteed,
@@ -36,8 +36,8 @@
     began: Option<Time>,
     /// Something changed that another round may make use of.
     stirred: bool,
-    /// Jobs that may claim their team's guarantee now, as of the beginning of the round.
-    within: BTreeSet<JobId>,
+    /// Jobs that come first as long as their team is within its guarantee, as of the round's beginning.
+    pressing: BTreeSet<JobId>,
 }
 
 impl Round {
@@ -45,9 +45,9 @@
         self.stirred = true;
     }
 
-    /// Whether the job may claim its team's guarantee now.
-    pub fn claims_guarantee(&self, job: &Job) -> bool {
-        self.within.contains(&job.spec.id)
+    /// Whether the job comes first as long as its team is within its guarantee.
+    pub fn presses(&self, job: &Job) -> bool {
+        self.pressing.contains(&job.spec.id)
     }
 }
 
@@ -95,13 +95,14 @@
             .filter(|work| is_starved(work, now))
             .collect();
         starved.sort_by_key(|work| work.job.accepted_ms);
-        let within = self.within_guarantees(now);
-        let pressing: Vec<&Work> = works
-            .iter()
-            .copied()
-            .filter(|work| within.contains(&work.job.spec.id))
-            .collect();
         let id = |work: &&Work| work.job.spec.id;
+        let within = self.within_guarantees();
+        let presses = |work: &&Work| self.objectives.guarantee_presses(&work.job, now.wall_ms);
+        let pressing = works.iter().copied().filter(presses);
+        let (mut pressing, later): (Vec<&Work>, Vec<&Work>) =
+            pressing.partition(|work| within.contains(&work.job.spec.id));
+        pressing.extend(later);
+        let pressing_ids = pressing.iter().map(id).collect();
         let order = |pass, works: &[&Work]| -> Vec<(Pass, JobId)> {
             works.iter().map(|work| (pass, id(work))).collect()
         };
@@ -112,31 +113,30 @@
             all.extend(order(Pass::Rest, equals));
         }
         self.round.order = all;
-        self.round.within = within;
+        self.round.pressing = pressing_ids;
         self.round.position = 0;
         self.quota.keep_nothing();
         self.round.stirred = false;
         self.round.began = Some(now.steady);
     }
 
-    /// Jobs that fit into their teams' guarantees together with the teams' earlier ones, and that have
-    /// waited nearly as long as such jobs may.
-    fn within_guarantees(&self, now: Now) -> BTreeSet<JobId> {
+    /// Jobs that fit into their teams' guarantees together with the teams' earlier ones: those that users
+    /// take to be within it.
+    fn within_guarantees(&self) -> BTreeSet<JobId> {
         let mut works: Vec<&Work> = self.jobs.values().collect();
         works.sort_unstable_by_key(|work| (work.job.accepted_ms, work.job.spec.id));
         let mut guarantees = self.quota.unused();
         works
             .into_iter()
             .filter(|work| guarantees.fits_all(&work.job))
-            .filter(|work| self.objectives.guarantee_presses(&work.job, now.wall_ms))
             .map(|work| work.job.spec.id)
             .collect()
     }
 
-    /// Hands out waiting tasks: first to jobs that have waited too long, then to those within teams'
-    /// guarantees for which that is pressing, then by priority; among equals what leaves its team
-    /// within its guarantee comes first, each by deadline and age. Goes on where the last call
-    /// stopped.
+    /// Hands out waiting tasks: first to jobs that have waited too long; then what leaves its team within
+    /// its guarantee and has waited nearly as long as that allows, jobs that users take to be within it
+    /// before the others; then by priority, among equals what leaves its team within its guarantee
+    /// before the rest. Each by deadline and age. Goes on where the last call stopped.
     pub fn round(&mut self, now: Now, budget: &Budget) {
         if self.round.position >= self.round.order.len() {
             let fresh = |began: Time| now.steady.since(began) < ROUND_EVERY_MS;
--- a/crates/worksshunt-core/src/allotment/preempt.rs
+++ b/crates/worksshunt-core/src/allotment/preempt.rs
@@ -89,7 +89,7 @@
         for (_, job, waiting) in stuck {
             for _ in 0..*waiting {
                 let guaranteed = quota.guarantees(job);
-                let guarantee = match (guaranteed, self.round.claims_guarantee(job)) {
+                let guarantee = match (guaranteed, self.round.presses(job)) {
                     (true, true) => Guarantee::First,
                     (true, false) => Guarantee::AmongEquals,
                     (false, _) => Guarantee::UsedUp,
