Submissions and owners' records are sent once more when the answer is slow

Now: after 400 ms without an answer the same transaction is sent once more. Its conditions let one copy be applied; the first clear answer settles it, numbers keep later ones apart.

Ruled out: the write limit (3 refusals), the queue (no overflow).

The story fails without it: one submission waits 1.3 s.

--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -77,6 +77,10 @@
 /// Milliseconds after which a state service request counts as unanswered.
 pub const STORE_DEADLINE_MS: u64 = 1_500;
 
+/// Milliseconds without an answer after which a write that somebody waits for is sent once more: answers
+/// usually take 10 ms, and now and then one takes a few hundred.
+pub const STORE_SLOW_MS: u64 = 400;
+
 /// Milliseconds a watch waits for a change.
 pub const FOLLOW_WAIT_MS: u64 = 10_000;
 
--- a/crates/worksshunt-core/src/controller/epochs.rs
+++ b/crates/worksshunt-core/src/controller/epochs.rs
@@ -142,9 +142,9 @@
                     self.load_answer(t, step, reply, out);
                 }
             }
-            StoreTag::Write(lane, epoch) => {
+            StoreTag::Write(lane, epoch, number) => {
                 if epoch == self.membership.token() {
-                    self.lane_answer(lane, t, sent, reply);
+                    self.lane_answer((lane, number), t, sent, reply);
                 }
             }
             StoreTag::Refresh(epoch, key) => {
@@ -164,7 +164,7 @@
                 }
                 _ => self.to_learn.push_back(id),
             },
-            StoreTag::Accept => self.accept_answer(t, reply, out),
+            StoreTag::Accept(number) => self.accept_answer(number, t, reply, out),
             StoreTag::Withdraw(ask) => match reply {
                 StoreReply::Committed(_) => {
                     let id = ask.id;
--- a/crates/worksshunt-core/src/controller/events.rs
+++ b/crates/worksshunt-core/src/controller/events.rs
@@ -77,14 +77,14 @@
     CatchUp,
     /// Records at the start of an epoch.
     Load(Epoch, Loading),
-    /// A conditional write of an epoch.
-    Write(Lane, Epoch),
+    /// A conditional write of an epoch, by its number in its lane.
+    Write(Lane, Epoch, u64),
     /// A page whose version has become uncertain.
     Refresh(Epoch, String),
     /// A final state that questions had to be put off for.
     Learn(JobId),
-    /// Submissions.
-    Accept,
+    /// Submissions, by the number of their write.
+    Accept(u64),
     /// A cancellation.
     Withdraw(Ask),
     /// A final state.
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -26,7 +26,7 @@
 
 use epochs::Load;
 pub use events::{Action, CloudReply, Event, Lane, Loading, StoreOp, StoreReply, StoreTag};
-use writes::Lanes;
+use writes::{Copies, Lanes};
 
 /// Whether this controller is fit to own machines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -94,6 +94,7 @@
     follow_turn: Periodic,
     catch_up_turn: Periodic,
     accept_turn: Periodic,
+    accept_copies: Copies,
     sync_turn: Periodic,
     sync_last: Time,
     catalog_turn: Periodic,
@@ -147,6 +148,7 @@
             follow_turn: Periodic::default(),
             catch_up_turn: Periodic::default(),
             accept_turn: Periodic::default(),
+            accept_copies: Copies::default(),
             sync_turn: Periodic::default(),
             sync_last: Time::default(),
             catalog_turn: Periodic::default(),
--- a/crates/worksshunt-core/src/controller/requests.rs
+++ b/crates/worksshunt-core/src/controller/requests.rs
@@ -5,10 +5,12 @@
 
 use crate::constants::*;
 use crate::fleet::CloudRequest;
-use crate::jobs::{check_possible, final_key, intake_key, open_key, parse, Job, Refusal, OPEN};
+use crate::jobs::{
+    check_possible, final_key, intake_key, is_intake, open_key, parse, Job, Refusal, OPEN,
+};
 use crate::placement::owner;
 use crate::time::{Now, Time};
-use crate::users::{accepted, resolve, settled, Ask, Question, Reply, RequestId, Step};
+use crate::users::{accepted, resolve, settled, Ask, Question, Reply, RequestId, Step, Submission};
 
 use super::{store, Action, CloudReply, Controller, StoreOp, StoreReply, StoreTag};
 
@@ -32,6 +34,11 @@
             self.reads.take(1);
             store(out, StoreTag::Learn(id), StoreOp::Get(final_key(id)));
         }
+        if let Some((number, txn, deadline_ms)) = self.accept_copies.repeat(now) {
+            self.lanes.user_writes.take(txn.changes.len());
+            let tag = StoreTag::Accept(number);
+            out.push(Action::Store(tag, StoreOp::Txn(txn), deadline_ms));
+        }
         if self.accept_turn.due(now) && self.users.wants_accept() {
             let limits = &self.settings.facts.state;
             let most = self.lanes.user_writes.available(now).min(limits.txn_ops);
@@ -46,7 +53,8 @@
             if let Some(txn) = txn {
                 self.lanes.user_writes.take(txn.changes.len());
                 self.accept_turn.sent(now, 0);
-                store(out, StoreTag::Accept, StoreOp::Txn(txn));
+                let number = self.accept_copies.begin(now, &txn);
+                store(out, StoreTag::Accept(number), StoreOp::Txn(txn));
             }
         }
     }
@@ -221,15 +229,25 @@
         }
     }
 
-    pub(super) fn accept_answer(&mut self, now: Time, reply: StoreReply, out: &mut Vec<Action>) {
+    pub(super) fn accept_answer(
+        &mut self,
+        number: u64,
+        now: Time,
+        reply: StoreReply,
+        out: &mut Vec<Action>,
+    ) {
+        let clearly = matches!(reply, StoreReply::Committed(_) | StoreReply::Conflict(_));
+        if !self.accept_copies.settled(number, clearly) {
+            return;
+        }
         self.accept_turn.retry(now, 0);
         let jobs = self.users.accept_answered();
         match reply {
-            StoreReply::Committed(_) => {
-                for (_, request, job) in jobs {
-                    out.push(Action::Reply(request, accepted(job.spec.id)));
-                }
+            // Nobody else writes this process's pages of jobs: an earlier copy was applied.
+            StoreReply::Conflict(failed) if failed.iter().any(|key| is_intake(key)) => {
+                accept_all(jobs, out);
             }
+            StoreReply::Committed(_) => accept_all(jobs, out),
             StoreReply::Conflict(failed) => {
                 for (_, request, job) in jobs {
                     let id = job.spec.id;
@@ -331,6 +349,12 @@
     }
 }
 
+fn accept_all(jobs: Vec<Submission>, out: &mut Vec<Action>) {
+    for (_, request, job) in jobs {
+        out.push(Action::Reply(request, accepted(job.spec.id)));
+    }
+}
+
 /// Whether the machine's name may become part of a key of the state service.
 fn is_name(report: &Report) -> bool {
     let name = &report.machine.0;
--- a/crates/worksshunt-core/src/controller/writes.rs
+++ b/crates/worksshunt-core/src/controller/writes.rs
@@ -39,10 +39,62 @@
     Unclear,
 }
 
+/// The write under way and the copy of it that is sent when the answer is slow: now and then one takes many
+/// times as long as the others, which nobody should have to wait for. Both can be applied only once, by
+/// the conditions they carry.
+#[derive(Debug, Default)]
+pub(super) struct Copies {
+    number: u64,
+    sent: Time,
+    txn: Txn,
+    /// Copies that are not answered.
+    out: u32,
+    repeated: bool,
+}
+
+impl Copies {
+    /// A write is sent; its number.
+    pub fn begin(&mut self, now: Time, txn: &Txn) -> u64 {
+        *self = Copies {
+            number: self.number + 1,
+            sent: now,
+            txn: txn.clone(),
+            out: 1,
+            repeated: false,
+        };
+        self.number
+    }
+
+    /// The copy to be sent now, if any, with its number and deadline.
+    pub fn repeat(&mut self, now: Time) -> Option<(u64, Txn, u64)> {
+        if self.out != 1 || self.repeated || now.since(self.sent) < STORE_SLOW_MS {
+            return None;
+        }
+        self.repeated = true;
+        self.out += 1;
+        let deadline_ms = STORE_DEADLINE_MS - STORE_SLOW_MS;
+        Some((self.number, self.txn.clone(), deadline_ms))
+    }
+
+    /// A copy was answered, `clearly` or not. Whether that settles the write of that number: an unclear
+    /// answer does only if no other is to come, and what comes after a clear one is of no interest.
+    pub fn settled(&mut self, number: u64, clearly: bool) -> bool {
+        if number != self.number || self.out == 0 {
+            return false;
+        }
+        self.out -= 1;
+        if clearly {
+            self.out = 0;
+        }
+        self.out == 0
+    }
+}
+
 /// One write at a time, within a share of the state service's limit.
 #[derive(Debug)]
 struct Line {
     turn: Periodic,
+    copies: Copies,
     under_way: Option<Txn>,
     writes: Bucket,
 }
@@ -51,6 +103,7 @@
     fn new(writes: Bucket) -> Line {
         Line {
             turn: Periodic::default(),
+            copies: Copies::default(),
             under_way: None,
             writes,
         }
@@ -135,7 +188,17 @@
     }
 
     fn lane_turn(&mut self, lane: Lane, now: Time, out: &mut Vec<Action>) {
+        let token = self.membership.token();
         let line = self.lanes.line(lane);
+        if line.turn.in_flight {
+            // Launches wait for records. The other lanes can wait.
+            let repeat = (lane == Lane::Records).then(|| line.copies.repeat(now));
+            if let Some((number, txn, deadline_ms)) = repeat.flatten() {
+                line.writes.take(txn.changes.len());
+                let tag = StoreTag::Write(lane, token, number);
+                out.push(Action::Store(tag, StoreOp::Txn(txn), deadline_ms));
+            }
+        }
         if !line.turn.due(now) {
             return;
         }
@@ -158,14 +221,14 @@
             }
             self.lanes.line(lane).under_way = Some(txn);
         }
-        let token = self.membership.token();
         let line = self.lanes.line(lane);
         let Some(txn) = line.under_way.clone() else {
             return;
         };
         line.turn.sent(now, 0);
         line.writes.take(txn.changes.len());
-        store(out, StoreTag::Write(lane, token), StoreOp::Txn(txn));
+        let number = line.copies.begin(now, &txn);
+        store(out, StoreTag::Write(lane, token, number), StoreOp::Txn(txn));
     }
 
     fn record_txn(&mut self, now: Time, txn: &mut Txn) {
@@ -293,11 +356,13 @@
     }
 
     /// A write was answered, or not.
-    pub(super) fn lane_answer(&mut self, lane: Lane, now: Time, sent: Time, reply: StoreReply) {
-        let line = self.lanes.line(lane);
-        if !line.turn.in_flight {
-            return;
-        }
+    pub(super) fn lane_answer(
+        &mut self,
+        (lane, number): (Lane, u64),
+        now: Time,
+        sent: Time,
+        reply: StoreReply,
+    ) {
         let outcome = match reply {
             StoreReply::Committed(revision) => {
                 self.membership.confirmed(sent);
@@ -320,6 +385,10 @@
             _ => Outcome::Unclear,
         };
         let line = self.lanes.line(lane);
+        let clearly = !matches!(outcome, Outcome::Unclear);
+        if !line.copies.settled(number, clearly) {
+            return;
+        }
         let wait_ms = match outcome {
             Outcome::Unclear => STORE_RETRY_MS,
             _ => {
--- a/crates/worksshunt-core/src/users.rs
+++ b/crates/worksshunt-core/src/users.rs
@@ -219,7 +219,7 @@
 }
 
 /// A submission that waits to be written, and since when.
-type Submission = (Time, RequestId, Box<Job>);
+pub type Submission = (Time, RequestId, Box<Job>);
 
 /// Requests that wait for the state service.
 #[derive(Debug, Default)]
--- a/crates/worksshunt-core/tests/stories/troubles.rs
+++ b/crates/worksshunt-core/tests/stories/troubles.rs
@@ -266,6 +266,31 @@
     world.check();
 }
 
+// Guards against users and launches that wait for one slow answer, and against copies that are taken for
+// other writes.
+#[test]
+fn slow_answers_of_the_state_service_hold_nobody_up() {
+    let mut world = ready_with_boots_of(50.0);
+    for _ in 0..9 {
+        world.machine("a", true, 0);
+    }
+    world.run(10_000);
+    world.trouble.slow_txns_ms = 1_200;
+    let mut slowest = 0;
+    for id in 1..=12 {
+        let asked = world.now;
+        let reply = world.submit(id as usize % 3, &job(id, 3));
+        assert!(matches!(reply.status, 200 | 201), "{reply:?}");
+        slowest = slowest.max(world.now - asked);
+    }
+    assert!(slowest < 800, "one waited {slowest} ms");
+    world.until("all tasks", 60_000, |w| {
+        (1..=12).all(|id| w.all_done(id, 3))
+    });
+    assert_eq!(world.starts.len(), 36, "each ran once");
+    world.check();
+}
+
 // Guards against records of former epochs that are never written anew while completions always come
 // first: the next epoch takes all that has ended since for work that may still be there, and at full
 // size its leader ran out of memory.
--- a/crates/worksshunt-core/tests/stories/world/mod.rs
+++ b/crates/worksshunt-core/tests/stories/world/mod.rs
@@ -257,6 +257,8 @@
     pub cut_from_workers: BTreeSet<usize>,
     /// Controllers whose transactions are kept back until released.
     pub hold_txns: BTreeSet<usize>,
+    /// Every second transaction takes so long to be carried out.
+    pub slow_txns_ms: u64,
     /// Direct orders are kept back until released, and time out.
     pub hold_orders: bool,
     /// Jobs whose tasks fail on every machine.
@@ -297,6 +299,8 @@
     user_replies: Vec<Option<Reply>>,
     pub trouble: Troubles,
     held_txns: Vec<StoreOp>,
+    /// Transactions that could be slow.
+    txns: u64,
     held_orders: Vec<DirectOrders>,
     /// Rules that were broken.
     pub broken: Vec<String>,
@@ -373,6 +377,7 @@
             user_replies: Vec::new(),
             trouble: Troubles::default(),
             held_txns: Vec::new(),
+            txns: 0,
             held_orders: Vec::new(),
             broken: Vec::new(),
             starts: Vec::new(),
@@ -810,6 +815,15 @@
         sent: Time,
         until: u64,
     ) {
+        let slow_ms = self.trouble.slow_txns_ms;
+        if slow_ms > 0 && matches!(op, StoreOp::Txn(_)) && self.now + slow_ms < until {
+            self.txns += 1;
+            if self.txns.is_multiple_of(2) {
+                let late = Happening::Store(node, life, tag, op, sent, until);
+                self.at(self.now + slow_ms, late);
+                return;
+            }
+        }
         if self.trouble.hold_txns.contains(&node) && matches!(op, StoreOp::Txn(_)) {
             self.held_txns.push(op);
             let event = Box::new(Event::Store(tag, sent, StoreReply::Unknown));
