Order of service by latest start instead of deadline; a story at half as large again

Now: among equals the latest start decides, the deadline less the estimate.

The story at 1,850 machines: a third hangs for longer than its lease while all controllers crash; every task runs, no rule breaks, and no record is left of what is over. A third of the machines is 2,467 of 8,000 tasks; at most twice that many start again.

--- a/crates/worksshunt-core/src/allotment/handout.rs
+++ b/crates/worksshunt-core/src/allotment/handout.rs
@@ -136,7 +136,7 @@
     /// Hands out waiting tasks: first to jobs that have waited too long; then what leaves its team within
     /// its guarantee and has waited nearly as long as that allows, jobs that users take to be within it
     /// before the others; then by priority, among equals what leaves its team within its guarantee
-    /// before the rest. Each by deadline and age. Goes on where the last call stopped.
+    /// before the rest. Each by latest start and age. Goes on where the last call stopped.
     pub fn round(&mut self, now: Now, budget: &Budget) {
         if self.round.position >= self.round.order.len() {
             let fresh = |began: Time| now.steady.since(began) < ROUND_EVERY_MS;
--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -76,11 +76,12 @@
         }
     }
 
-    /// Order of service: by priority, deadline, age.
+    /// Order of service: by priority, latest start, age. By deadline alone, long jobs waited for
+    /// shorter ones that came much later whenever there was more work than room.
     fn rank(&self) -> (std::cmp::Reverse<Priority>, u64, u64, JobId) {
         (
             std::cmp::Reverse(self.job.spec.priority),
-            self.job.due_ms().unwrap_or(u64::MAX),
+            self.job.latest_start_ms().unwrap_or(u64::MAX),
             self.job.accepted_ms,
             self.job.spec.id,
         )
--- a/crates/worksshunt-core/src/jobs.rs
+++ b/crates/worksshunt-core/src/jobs.rs
@@ -109,6 +109,12 @@
         Some(self.accepted_ms.saturating_add((deadline * 1_000.0) as u64))
     }
 
+    /// When its last tasks have to start for that, by the estimate.
+    pub fn latest_start_ms(&self) -> Option<u64> {
+        let estimate_ms = (self.spec.estimate_s * 1_000.0) as u64;
+        Some(self.due_ms()?.saturating_sub(estimate_ms))
+    }
+
     /// Whether a machine of that type, zone and kind may run its tasks.
     pub fn allows(&self, machine_type: &str, zone: &str, spot: bool) -> bool {
         (!spot || self.spec.spot)
--- a/crates/worksshunt-core/tests/stories/ordinary.rs
+++ b/crates/worksshunt-core/tests/stories/ordinary.rs
@@ -408,6 +408,31 @@
     world.check();
 }
 
+// Guards against long jobs that wait for every shorter one that comes after them.
+#[test]
+fn among_equals_the_latest_start_decides_and_not_the_deadline() {
+    let mut world = ready();
+    world.capacity = 1;
+    world.run_ms = 10_000;
+    let due = |id: u64, estimate_s: f64, deadline_s: f64| {
+        let mut due = job(id, 4);
+        due["CalculoS"] = json!(estimate_s);
+        due["EntregaS"] = json!(deadline_s);
+        due
+    };
+    world.submit(0, &due(1, 10.0, 60.0));
+    world.until("the first", 20_000, |w| w.running().len() == 4);
+    world.submit(1, &due(2, 300.0, 400.0));
+    world.submit(2, &due(3, 10.0, 150.0));
+    world.until("the next", 20_000, |w| w.starts.len() > 4);
+    assert_eq!(
+        world.starts[4].1.job,
+        JobId(2),
+        "40 s earlier than the other"
+    );
+    world.check();
+}
+
 #[test]
 fn work_does_not_stop_its_equals() {
     let mut world = full_fleet(12);
--- a/crates/worksshunt-core/tests/stories/troubles.rs
+++ b/crates/worksshunt-core/tests/stories/troubles.rs
@@ -460,6 +460,59 @@
     world.check();
 }
 
+// Guards against whatever grows faster than the fleet when a third of it falls silent, all controllers
+// crash in it and the silent third comes back after its lease, at the largest size asked for.
+#[test]
+fn a_fleet_half_as_large_again_survives_when_a_third_of_it_falls() {
+    let mut world = World::new();
+    for settings in &mut world.settings {
+        settings.facts.teams[1].cpus_max = 10_000.0;
+        settings.facts.state.write_rps = 60.0;
+    }
+    (0..3).for_each(|node| world.start(node));
+    let machines = 1_850;
+    world.capacity = machines;
+    world.run_ms = 12_000;
+    world.ready_s = 50.0;
+    let ids: Vec<MachineId> = (0..machines)
+        .map(|n| world.machine(if n % 2 == 0 { "a" } else { "b" }, true, 0))
+        .collect();
+    world.run(9_000);
+    for id in 1..=20 {
+        world.submit(id as usize % 3, &long_job(id, 400));
+    }
+    world.until("a full fleet", 20_000, |w| w.running().len() > 7_000);
+    let hang = |world: &mut World, hung: bool| {
+        for id in ids.iter().step_by(3) {
+            if let Some(worker) = world.workers.get_mut(id) {
+                worker.hung = hung;
+            }
+        }
+    };
+    hang(&mut world, true);
+    (0..3).for_each(|node| world.crash(node));
+    world.run(2_000);
+    (0..3).for_each(|node| world.start(node));
+    let began = world.now;
+    let before = world.starts.len();
+    world.until("another start", 12_000, |w| w.starts.len() > before);
+    world.run(20_000);
+    hang(&mut world, false);
+    world.until("all tasks", 90_000, |w| {
+        (1..=20).all(|id| w.all_done(id, 400))
+    });
+    assert!(world.now < began + 110_000);
+    assert!(world.epoch() <= 6, "epoch {}", world.epoch());
+    let lost = world.starts.len() - 8_000;
+    assert!(
+        lost < 2 * 4 * machines / 3,
+        "{lost} starts more than needed"
+    );
+    world.run(30_000);
+    assert_eq!(world.keys("a/"), Vec::<String>::new(), "records of nothing");
+    world.check();
+}
+
 // Guards against reports that cannot be right: they change nothing and stop nothing.
 #[test]
 fn odd_reports_are_refused() {
