--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -245,7 +245,8 @@
         self.part.place(t, &self.mirror, budget);
         if self.membership.has_authority(t) {
             self.write_turns(t, out);
-            let most = ORDERS_AT_ONCE.saturating_sub(self.orders_out);
+            let most = ORDERS_AT_ONCE.min(worker_connections(&self.settings));
+            let most = most.saturating_sub(self.orders_out);
             let all = self.part.direct_orders(t, self.membership.token(), most);
             self.orders_out += all.len();
             out.extend(all.into_iter().map(Action::Orders));
@@ -425,7 +426,7 @@
         }
         leader.allotment.round(now, budget);
         if self.list_turn.due(t) && self.cloud_calls.available(t) > 0 {
-            self.cloud_calls.take(1);
+            self.cloud_calls.take(1 + leader.fleet.size() / CLOUD_PAGE);
             self.list_turn.sent(t, LIST_EVERY_MS);
             out.push(Action::Cloud(CloudRequest::List));
         }
@@ -507,6 +508,11 @@
     }
 }
 
+/// How many connections to workers a controller may have: users and reports have the others.
+pub fn worker_connections(settings: &Settings) -> usize {
+    settings.facts.limits.sockets.saturating_sub(OWN_SOCKETS) / WORKER_SHARE
+}
+
 fn store(out: &mut Vec<Action>, tag: StoreTag, op: StoreOp) {
     out.push(Action::Store(tag, op, STORE_DEADLINE_MS));
 }
--- a/crates/worksshunt-core/src/fleet/mod.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -175,6 +175,11 @@
         self.epoch
     }
 
+    /// How many machines it knows of.
+    pub fn size(&self) -> usize {
+        self.machines.len()
+    }
+
     /// Goes on into the next epoch under the same leader, which knows all that was rented.
     pub fn carried_over(mut self, epoch: Epoch) -> Fleet {
         self.epoch = epoch;
--- a/crates/worksshunt/src/service.rs
+++ b/crates/worksshunt/src/service.rs
@@ -12,9 +12,9 @@
 use http_types::Method;
 use worksshunt_core::constants::{
     CLOUD_CONNECTIONS, CLOUD_DEADLINE_MS, IDLE_CONNECTION_MS, IDLE_REPORTS, ORDERS_DEADLINE_MS,
-    OWN_SOCKETS, PEER_CONNECTIONS, STATE_CONNECTIONS, SYNC_DEADLINE_MS, TICK_MS, WORKER_SHARE,
+    OWN_SOCKETS, PEER_CONNECTIONS, STATE_CONNECTIONS, SYNC_DEADLINE_MS, TICK_MS,
 };
-use worksshunt_core::controller::{Action, Controller, Event};
+use worksshunt_core::controller::{worker_connections, Action, Controller, Event};
 use worksshunt_core::placement::Parameters;
 use worksshunt_core::time::{Now, Time};
 use worksshunt_core::users::{Reply, RequestId};
@@ -52,7 +52,7 @@
     let users = listen(&settings.client_listen)?;
     let internal = listen(&settings.internal_addr)?;
     let free = settings.facts.limits.sockets.saturating_sub(OWN_SOCKETS);
-    let worker_connections = free / WORKER_SHARE;
+    let worker_connections = worker_connections(&settings);
     let connections = free - worker_connections;
     let quiet = Duration::from_secs_f64(settings.facts.workers.report_s * IDLE_REPORTS);
     let idle = quiet.max(Duration::from_millis(IDLE_CONNECTION_MS));
