--- a/crates/worksshunt-core/src/allotment/handout.rs
+++ b/crates/worksshunt-core/src/allotment/handout.rs
@@ -98,10 +98,8 @@
         let id = |work: &&Work| work.job.spec.id;
         let within = self.within_guarantees();
         let presses = |work: &&Work| self.objectives.guarantee_presses(&work.job, now.wall_ms);
-        let pressing = works.iter().copied().filter(presses);
-        let (mut pressing, later): (Vec<&Work>, Vec<&Work>) =
-            pressing.partition(|work| within.contains(&work.job.spec.id));
-        pressing.extend(later);
+        let mut pressing: Vec<&Work> = works.iter().copied().filter(presses).collect();
+        pressing.sort_by_key(|work| (work.rank().0, !within.contains(&id(work))));
         let pressing_ids = pressing.iter().map(id).collect();
         let order = |pass, works: &[&Work]| -> Vec<(Pass, JobId)> {
             works.iter().map(|work| (pass, id(work))).collect()
@@ -134,9 +132,10 @@
     }
 
     /// Hands out waiting tasks: first to jobs that have waited too long; then what leaves its team within
-    /// its guarantee and has waited nearly as long as that allows, jobs that users take to be within it
-    /// before the others; then by priority, among equals what leaves its team within its guarantee
-    /// before the rest. Each by latest start and age. Goes on where the last call stopped.
+    /// its guarantee and has waited nearly as long as that allows, by priority, and among equals first
+    /// the jobs that users take to be within it; then by priority, among equals what leaves its team
+    /// within its guarantee before the rest. Each by latest start and age. Goes on where the last call
+    /// stopped.
     pub fn round(&mut self, now: Now, budget: &Budget) {
         if self.round.position >= self.round.order.len() {
             let fresh = |began: Time| now.steady.since(began) < ROUND_EVERY_MS;
