Latest start decides only where a class's tasks are expected to start in time

There users expect deadlines of that class and nothing of its starts.

Now: the settings' objectives of a class decide which of the two orders it.

--- a/crates/worksshunt-core/src/allotment/handout.rs
+++ b/crates/worksshunt-core/src/allotment/handout.rs
@@ -134,7 +134,7 @@
     /// Hands out waiting tasks: first to jobs that have waited too long; then what leaves its team within
     /// its guarantee and has waited nearly as long as that allows, by priority, and among equals first
     /// the jobs that users take to be within it; then by priority, among equals what leaves its team
-    /// within its guarantee before the rest. Each by latest start and age. Goes on where the last call
+    /// within its guarantee before the rest. Each by deadline or latest start, and age. Goes on where the last call
     /// stopped.
     pub fn round(&mut self, now: Now, budget: &Budget) {
         if self.round.position >= self.round.order.len() {
--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -39,6 +39,8 @@
 #[derive(Debug)]
 struct Work {
     job: Rc<Job>,
+    /// When its tasks have to start or be done; for ever if nobody says.
+    decides_ms: u64,
     /// Tasks known to be done, durable or not.
     done: DoneSet,
     /// Those of them that are not in the store yet.
@@ -60,8 +62,9 @@
 }
 
 impl Work {
-    fn new(job: Rc<Job>) -> Work {
+    fn new(job: Rc<Job>, objectives: &Objectives) -> Work {
         Work {
+            decides_ms: objectives.decides_ms(&job).unwrap_or(u64::MAX),
             done: DoneSet::new(job.spec.tasks),
             job,
             undurable: BTreeSet::new(),
@@ -76,12 +79,11 @@
         }
     }
 
-    /// Order of service: by priority, latest start, age. By deadline alone, long jobs waited for
-    /// shorter ones that came much later whenever there was more work than room.
+    /// Order of service: by priority, deadline or latest start, age.
     fn rank(&self) -> (std::cmp::Reverse<Priority>, u64, u64, JobId) {
         (
             std::cmp::Reverse(self.job.spec.priority),
-            self.job.latest_start_ms().unwrap_or(u64::MAX),
+            self.decides_ms,
             self.job.accepted_ms,
             self.job.spec.id,
         )
@@ -270,7 +272,8 @@
             former_first: false,
         };
         for (id, open) in mirror.open() {
-            this.jobs.insert(*id, Work::new(Rc::clone(&open.job)));
+            let work = Work::new(Rc::clone(&open.job), &this.objectives);
+            this.jobs.insert(*id, work);
         }
         for pair in &found.done {
             this.load_completions(now, pair);
@@ -350,7 +353,7 @@
     pub fn open(&mut self, id: JobId, job: &Rc<Job>) {
         self.jobs
             .entry(id)
-            .or_insert_with(|| Work::new(Rc::clone(job)));
+            .or_insert_with(|| Work::new(Rc::clone(job), &self.objectives));
         self.round.stir();
     }
 
--- a/crates/worksshunt-core/src/objectives.rs
+++ b/crates/worksshunt-core/src/objectives.rs
@@ -84,6 +84,17 @@
                 .any(|start| (0.0..=PRESSING_S).contains(&(start - age_s)))
     }
 
+    /// The moment that decides among jobs of one priority: its deadline; where its tasks are expected to
+    /// start in time, its latest start. By deadline long jobs wait for shorter ones that come much later
+    /// whenever there is more work than room, but fewer jobs miss it.
+    pub fn decides_ms(&self, job: &Job) -> Option<u64> {
+        let class = self.classes.get(&job.spec.class);
+        match class.and_then(|class| class.start_s) {
+            Some(_) => job.latest_start_ms(),
+            None => job.due_ms(),
+        }
+    }
+
     /// Whether a job within its team's guarantee has waited nearly as long as that allows.
     pub fn guarantee_presses(&self, job: &Job, wall_ms: u64) -> bool {
         let age_s = wall_ms.saturating_sub(job.accepted_ms) as f64 / 1_000.0;
