Standing jobs, the announced limits of the state service, versions side by side

Standing jobs are one more kind of job: never done, a replica that ends runs again. They are taken in once every controller's member key has said that it understands them, which the epoch's record keeps. Writes keep announced limits from the start; pages larger than those stay until they have shrunk.

--- a/crates/worksshunt-core/src/allotment/handout.rs
+++ b/crates/worksshunt-core/src/allotment/handout.rs
@@ -320,20 +320,26 @@
         }
         let work = self.jobs.get(&job.spec.id)?;
         let mut counts = work.done.zones().clone();
-        let mut unplaced = false;
+        let mut unplaced = 0;
         for (index, attempts) in &work.active {
             if work.done.contains(*index) {
                 continue;
             }
             for attempt in attempts {
-                match self.outs.get(attempt).and_then(|out| out.zone.clone()) {
+                // The owner may have described the machine only after it named the attempt.
+                let zone = self.outs.get(attempt).and_then(|out| {
+                    let machine = out.machine.as_ref();
+                    let there = || self.zone_of(&out.part, machine?);
+                    out.zone.clone().or_else(there)
+                });
+                match zone {
                     Some(zone) => *counts.entry(zone).or_default() += 1,
-                    None => unplaced = true,
+                    None => unplaced += 1,
                 }
             }
         }
         // An attempt somewhere unknown (inherited, its machine silent) may be in any zone.
-        if unplaced {
+        if unplaced > 0 && job.spec.one_zone {
             return Some(BTreeSet::new());
         }
         let all: BTreeSet<String> = self.machines().map(|m| m.up.zone.clone()).collect();
@@ -342,7 +348,7 @@
             all.into_iter()
                 .filter(|zone| {
                     let count = counts.get(zone).copied().unwrap_or(0);
-                    (!fixed || count > 0) && count < job.zone_limit()
+                    (!fixed || count > 0) && count + unplaced < job.zone_limit()
                 })
                 .collect(),
         )
--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use worksshunt_wire::peer::{End, Phase};
+use worksshunt_wire::peer::{End, Ended, Phase};
 use worksshunt_wire::settings::Facts;
 use worksshunt_wire::state::Pair;
 use worksshunt_wire::user::Priority;
@@ -20,6 +20,7 @@
 
 use crate::constants::{
     ERRORS_BEFORE_BACKOFF, ERROR_BACKOFF_MAX_MS, ERROR_BACKOFF_MS, LEFT_AT_LEAST,
+    REPLICA_BACKOFF_MAX_MS, STEADY_REPLICA_MS,
 };
 use crate::jobs::{completions_key, read_completions, Completions, DoneSet, Job, Mirror, DONE};
 use crate::objectives::Objectives;
@@ -497,20 +498,28 @@
         }
     }
 
-    fn failed(&mut self, now: Time, task: TaskId, machine: Option<&MachineId>, how: End) {
-        let Some(work) = self.jobs.get_mut(&task.job) else {
+    /// An attempt failed after running so long.
+    fn failed(&mut self, now: Time, ended: &Ended, ran_ms: u64) {
+        let Some(work) = self.jobs.get_mut(&ended.task.job) else {
             return;
         };
-        if how == End::Error {
-            work.errors += 1;
-            tracing::info!(%task, ?machine, errors = work.errors, "task failed");
-            // A job that fails everywhere must not keep machines busy with it.
-            if let Some(doublings) = work.errors.checked_sub(ERRORS_BEFORE_BACKOFF) {
-                let wait = ERROR_BACKOFF_MS
-                    .saturating_mul(1 << doublings.min(16))
-                    .min(ERROR_BACKOFF_MAX_MS);
-                work.not_before = now + wait;
-            }
+        let stands = work.job.stands();
+        // A replica that ran well is no sign that the next will not.
+        if stands && ran_ms >= STEADY_REPLICA_MS {
+            work.errors = 0;
+        }
+        work.errors += 1;
+        tracing::info!(task = %ended.task, machine = ?ended.machine, errors = work.errors, "task failed");
+        // A job that fails everywhere must not keep machines busy with it.
+        if let Some(doublings) = work.errors.checked_sub(ERRORS_BEFORE_BACKOFF) {
+            let most = match stands {
+                true => REPLICA_BACKOFF_MAX_MS,
+                false => ERROR_BACKOFF_MAX_MS,
+            };
+            let wait = ERROR_BACKOFF_MS
+                .saturating_mul(1 << doublings.min(16))
+                .min(most);
+            work.not_before = now + wait;
         }
     }
 
--- a/crates/worksshunt-core/src/allotment/parts.rs
+++ b/crates/worksshunt-core/src/allotment/parts.rs
@@ -147,9 +147,10 @@
         part.outbox
             .retain(|_, sent| *sent == UNSENT || *sent > up.seen);
         for ended in &up.ended {
+            let ran_ms = self.outs.get(&ended.attempt).map_or(0, |o| o.ran_ms(now));
             let known = self.remove_out(ended.attempt, ended.how, now).is_some();
-            if known && ended.how != End::Settled {
-                self.failed(now, ended.task, ended.machine.as_ref(), ended.how);
+            if known && ended.how == End::Error {
+                self.failed(now, ended, ran_ms);
             }
         }
         for listed in &up.attempts {
--- a/crates/worksshunt-core/src/allotment/preempt.rs
+++ b/crates/worksshunt-core/src/allotment/preempt.rs
@@ -7,7 +7,7 @@
 use worksshunt_wire::user::Priority;
 use worksshunt_wire::{Attempt, JobId, MachineId};
 
-use crate::constants::PREEMPT_AFTER_MS;
+use crate::constants::{PREEMPT_AFTER_MS, REPLICA_LOSS_MS};
 use crate::jobs::Job;
 use crate::placement::Room;
 use crate::quota::Quota;
@@ -139,6 +139,8 @@
             }
             let ran_ms = out.ran_ms(now.steady);
             let loses_ms = match job.spec.checkpoint_s {
+                // What a replica is there for ends with every stop, so it is stopped last.
+                _ if job.stands() => REPLICA_LOSS_MS,
                 every if every > 0.0 => ran_ms.min((every * 1_000.0) as u64),
                 _ => ran_ms,
             };
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -104,11 +104,13 @@
 /// bursts at one controller or another; a 429 corrects what is too much together.
 pub const USER_WRITE_SHARE: f64 = 0.3;
 
-/// Pages in one write: five of the largest values seen (8 KiB) would fill a transaction.
+/// Pages in one write, if a transaction takes as many: five of the largest values seen (8 KiB) would fill
+/// one.
 pub const PAGES_AT_ONCE: usize = 4;
 
-/// Bytes of a page left for its frame and for estimates of its entries that are too low.
-pub const PAGE_MARGIN_BYTES: usize = 512;
+/// One in so many bytes of a value is left for a page's frame and for estimates of its entries that
+/// are too low: 128 of the smallest value seen (2 KiB), several times what either takes.
+pub const PAGE_MARGIN: usize = 16;
 
 /// One in so many parts of a page must be free for entries to go there: so that a write seldom needs
 /// two pages.
@@ -177,9 +179,9 @@
 /// Tasks of a job (protocol).
 pub const MAX_TASKS: u32 = 100_000;
 
-/// Tasks of a job per entry of completions: the worst entry, every other task done, takes 2 KiB, well
-/// inside the smallest value limit seen (8 KiB).
-pub const DONE_CHUNK: u32 = 256;
+/// Tasks of a job per entry of completions: the worst entry, every other task done, takes half a KiB, so
+/// that it fits a page of the smallest value ([`LEAST_VALUE_KB`]). Entries read may span more.
+pub const DONE_CHUNK: u32 = 64;
 
 /// Final job states kept in memory per controller; the rest is read from the store when asked.
 pub const FINALS_KEPT: usize = 10_000;
@@ -257,6 +259,9 @@
 /// higher priority: as long as a full fleet takes to end tasks for all of a guarantee.
 pub const GUARANTEE_LEAD_S: f64 = 30.0;
 
+/// Milliseconds of work that stopping a replica counts as: a day, more than any task loses.
+pub const REPLICA_LOSS_MS: u64 = 86_400_000;
+
 /// Failures of a job after which its tasks wait between tries.
 pub const ERRORS_BEFORE_BACKOFF: u32 = 3;
 
@@ -270,6 +275,13 @@
 /// Longest wait of a failing job, milliseconds.
 pub const ERROR_BACKOFF_MAX_MS: u64 = 60_000;
 
+/// Longest wait of a standing job whose replicas keep ending, milliseconds: it is down meanwhile, so this
+/// is little more than a start takes.
+pub const REPLICA_BACKOFF_MAX_MS: u64 = 15_000;
+
+/// Milliseconds after which a replica that ends has run well: several times what starting takes.
+pub const STEADY_REPLICA_MS: u64 = 30_000;
+
 /// Milliseconds between two looks at tasks that have found no room for long.
 pub const PRESS_EVERY_MS: u64 = 1_000;
 
@@ -409,9 +421,12 @@
 /// One in so many of the other sockets may be a connection to a worker.
 pub const WORKER_SHARE: usize = 4;
 
-/// The fewest changes in a transaction the service can work with: finishing the largest job removes
-/// it with its completion records.
-pub const LEAST_TXN_OPS: usize = 10;
+/// The fewest changes in a transaction the service can work with: a job's end removes one key and
+/// writes another.
+pub const LEAST_TXN_OPS: usize = 2;
+
+/// The smallest value the service can work with, KiB: a job's description, and a record or two to a page.
+pub const LEAST_VALUE_KB: f64 = 1.0;
 
 /// The fewest sockets it can work with: its own, and some for others.
 pub const LEAST_SOCKETS: usize = 64;
--- a/crates/worksshunt-core/src/controller/epochs.rs
+++ b/crates/worksshunt-core/src/controller/epochs.rs
@@ -208,7 +208,8 @@
                 }
             }
             StoreTag::KeepCatalog(catalog) => {
-                if let StoreReply::Committed(_) = reply {
+                // One that is larger than a value may be is done without.
+                if let StoreReply::Committed(_) | StoreReply::TooLarge = reply {
                     self.catalog_kept = Some(catalog);
                 }
             }
--- a/crates/worksshunt-core/src/controller/events.rs
+++ b/crates/worksshunt-core/src/controller/events.rs
@@ -50,6 +50,8 @@
     Changes(Changes),
     /// The revision lies too far back.
     TooOld,
+    /// Not executed: larger than the limits.
+    TooLarge,
     /// Not executed.
     Refused,
     /// No answer that tells whether it was executed.
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -108,13 +108,16 @@
 
 impl Controller {
     /// A controller that has just started.
-    pub fn new(settings: Settings, parameters: Parameters) -> Controller {
+    pub fn new(mut settings: Settings, parameters: Parameters) -> Controller {
+        // Announced limits come without notice, so they are kept from the start.
+        settings.facts.state = settings.facts.state.lowest();
         let facts = &settings.facts;
+        let others = settings.known.iter().map(|peer| peer.host_name.clone());
         let cloud_rate = facts.cloud.rps * CLOUD_SHARE;
         let read_rate = facts.state.rps * READ_SHARE;
         Controller {
             quota: Quota::new(&facts.teams),
-            membership: Membership::new(settings.host_name.clone()),
+            membership: Membership::new(settings.host_name.clone(), others),
             mirror: Mirror::default(),
             users: Users::default(),
             summary_every_ms: parameters.summary_every_ms,
--- a/crates/worksshunt-core/src/controller/requests.rs
+++ b/crates/worksshunt-core/src/controller/requests.rs
@@ -1,5 +1,6 @@
 //! Requests of users and workers, and the cloud's answers.
 
+use worksshunt_wire::user::JobKind;
 use worksshunt_wire::worker::{Redirect, Report, ReportAnswer};
 use worksshunt_wire::JobId;
 
@@ -133,6 +134,7 @@
             Ok(None) => Reply::later("machine types not known yet"),
             Ok(Some(spec)) => {
                 let id = spec.id;
+                let spec_stands = spec.kind == JobKind::Standing;
                 let known = self.mirror.get(id).is_some() || self.mirror.taken_in(id);
                 let job = Box::new(Job {
                     spec,
@@ -151,6 +153,9 @@
                         Ok(()) => return,
                         Err(reply) => reply,
                     }
+                } else if spec_stands && !self.membership.takes_standing() {
+                    // A controller that does not understand it would call it unknown.
+                    Reply::later("controllers that do not know standing jobs may be left")
                 } else if !self.mirror.loaded() || self.store_silent(now.steady) {
                     Reply::later("the state service does not answer")
                 } else if self.users.full() {
@@ -236,7 +241,10 @@
         reply: StoreReply,
         out: &mut Vec<Action>,
     ) {
-        let clearly = matches!(reply, StoreReply::Committed(_) | StoreReply::Conflict(_));
+        let clearly = matches!(
+            reply,
+            StoreReply::Committed(_) | StoreReply::Conflict(_) | StoreReply::TooLarge
+        );
         if !self.accept_copies.settled(number, clearly) {
             return;
         }
@@ -263,6 +271,11 @@
                     }
                 }
             }
+            StoreReply::TooLarge => {
+                self.accept_turn.retry(now, STORE_RETRY_MS);
+                self.lower_limits();
+                self.users.accept_again(jobs);
+            }
             // Certainly not executed, most likely for the limit: there is time for another try.
             StoreReply::Refused if !self.store_silent(now) => {
                 self.accept_turn.retry(now, STORE_RETRY_MS);
--- a/crates/worksshunt-core/src/controller/writes.rs
+++ b/crates/worksshunt-core/src/controller/writes.rs
@@ -12,7 +12,7 @@
 
 use crate::allotment::{claim_key, Due};
 use crate::constants::*;
-use crate::jobs::{final_key, final_value, intake_value, is_intake, job_of, open_key, Job};
+use crate::jobs::{final_key, final_value, is_intake, job_of, open_key};
 use crate::membership::EPOCH;
 use crate::pages::PageWrite;
 use crate::time::{Bucket, Periodic, Time};
@@ -124,7 +124,7 @@
     intake: Line,
     /// The page of jobs that was last dealt with, until the mirror shows what has become of it.
     intake_done: Option<(String, Revision)>,
-    /// Jobs on pages that turned out to have a key already, or to be over.
+    /// Jobs on pages that have a key of their own by now, or are over.
     settled: BTreeSet<JobId>,
     refresh: Periodic,
     ending: Vec<End>,
@@ -165,6 +165,12 @@
         self.ending.clear();
     }
 
+    /// Pages that a write of the lane may have now.
+    fn pages_at_once(&mut self, lane: Lane, now: Time) -> usize {
+        let most = PAGES_AT_ONCE.min(self.txn_ops);
+        self.line(lane).writes.available(now).min(most)
+    }
+
     fn line(&mut self, lane: Lane) -> &mut Line {
         match lane {
             Lane::Records => &mut self.records,
@@ -232,12 +238,12 @@
     }
 
     fn record_txn(&mut self, now: Time, txn: &mut Txn) {
-        let most = self.lanes.records.writes.available(now).min(PAGES_AT_ONCE);
+        let most = self.lanes.pages_at_once(Lane::Records, now);
         add_pages(txn, self.part.record_write(now, most));
     }
 
     fn pages_txn(&mut self, now: Time, txn: &mut Txn) {
-        let most = self.lanes.pages.writes.available(now).min(PAGES_AT_ONCE);
+        let most = self.lanes.pages_at_once(Lane::Pages, now);
         if let Some(leader) = &mut self.leader {
             add_pages(txn, leader.allotment.pages_write(now, most));
         }
@@ -306,8 +312,9 @@
         }
     }
 
-    /// Gives jobs of one page taken in together keys of their own, as many as the share allows, and
-    /// drops those that have one already or are over.
+    /// Gives jobs of one page taken in together keys of their own, as many as the share allows. The page
+    /// goes with the last of them: rewritten without the others it might be larger than the state
+    /// service's limit by then, which was larger when it was written.
     fn intake_txn(&mut self, now: Time, txn: &mut Txn) {
         let lanes = &mut self.lanes;
         let most = lanes.intake.writes.available(now).min(lanes.txn_ops);
@@ -319,21 +326,18 @@
         let Some((key, page)) = pages.find(|(key, page)| !dealt_with(key, page.version)) else {
             return;
         };
-        // A key each, and the page itself.
-        let Some(most) = most.checked_sub(1).filter(|most| *most > 0) else {
-            return;
-        };
         let condition = |key: String, version| Condition { key, version };
-        let mut left: Vec<&Job> = Vec::new();
-        for job in &page.jobs {
+        let mut left = page.jobs.iter().filter(|job| {
+            let id = job.spec.id;
+            !self.lanes.settled.contains(&id) && self.mirror.get(id).is_none()
+        });
+        while txn.changes.len() < most {
+            let Some(job) = left.next() else {
+                txn.changes.push(Change::Delete { key: key.clone() });
+                self.lanes.intake_done = Some((key.clone(), page.version));
+                break;
+            };
             let id = job.spec.id;
-            if self.lanes.settled.contains(&id) || self.mirror.get(id).is_some() {
-                continue;
-            }
-            if txn.changes.len() >= most {
-                left.push(job);
-                continue;
-            }
             txn.conditions.push(condition(open_key(id), Revision(0)));
             txn.conditions.push(condition(final_key(id), Revision(0)));
             txn.changes.push(Change::Put {
@@ -342,17 +346,40 @@
                 hold: None,
             });
         }
+        if txn.changes.is_empty() {
+            return;
+        }
         txn.conditions.push(condition(key.clone(), page.version));
-        txn.changes.push(if left.is_empty() {
-            Change::Delete { key: key.clone() }
+    }
+
+    /// A write was larger than the state service takes, which it was not announced to be: its limits have
+    /// fallen. What copies of the write have done is open, so this controller becomes a new member, for
+    /// whom they are void, and begins with what it reads.
+    fn limits_fell(&mut self, lane: Lane) {
+        if self.lower_limits() {
+            let state = &self.settings.facts.state;
+            self.lanes = Lanes::new(state);
+            self.part.set_limits(state);
+            self.leave();
         } else {
-            Change::Put {
-                key: key.clone(),
-                value: intake_value(&left),
-                hold: None,
-            }
-        });
-        self.lanes.intake_done = Some((key.clone(), page.version));
+            tracing::error!(?lane, "a write of the least size is too large");
+            let line = self.lanes.line(lane);
+            line.turn.in_flight = false;
+        }
+    }
+
+    /// Reckons with half of the state service's limits; false if they are the least already.
+    pub(super) fn lower_limits(&mut self) -> bool {
+        let state = &mut self.settings.facts.state;
+        let least = state.value_kb <= LEAST_VALUE_KB && state.txn_ops <= LEAST_TXN_OPS;
+        state.value_kb = (state.value_kb / 2.0).max(LEAST_VALUE_KB);
+        state.txn_ops = (state.txn_ops / 2).max(LEAST_TXN_OPS);
+        tracing::warn!(
+            value_kb = state.value_kb,
+            txn_ops = state.txn_ops,
+            "the state service's limits have fallen"
+        );
+        !least
     }
 
     /// A write was answered, or not.
@@ -374,6 +401,7 @@
             }
             // Nobody else writes an owner's pages, the leader's pages or its claims in its epoch, or
             // deals with pages of jobs: a copy of this write was applied before.
+            StoreReply::TooLarge => return self.limits_fell(lane),
             StoreReply::Conflict(failed) => {
                 let own = |key: &String| is_intake(key) || job_of(key).is_none();
                 if failed.iter().any(own) {
@@ -389,10 +417,11 @@
         if !line.copies.settled(number, clearly) {
             return;
         }
+        let mut given = Vec::new();
         let wait_ms = match outcome {
             Outcome::Unclear => STORE_RETRY_MS,
             _ => {
-                line.under_way = None;
+                given = line.under_way.take().map_or(Vec::new(), |txn| opened(&txn));
                 0
             }
         };
@@ -420,8 +449,8 @@
                     }
                 }
             }
-            // The mirror will tell.
-            (Lane::Intake, Outcome::Applied(_)) => {}
+            // The mirror will tell, later.
+            (Lane::Intake, Outcome::Applied(_)) => self.lanes.settled.extend(given),
             (Lane::Intake, Outcome::Refuted(failed)) => {
                 self.lanes.intake_done = None;
                 self.lanes
@@ -495,6 +524,13 @@
     }
 }
 
+/// The jobs that a transaction gives keys of their own.
+fn opened(txn: &Txn) -> Vec<JobId> {
+    let put = |change: &Change| matches!(change, Change::Put { .. });
+    let puts = txn.changes.iter().filter(|change| put(change));
+    puts.filter_map(|change| job_of(change.key())).collect()
+}
+
 fn add_pages(txn: &mut Txn, pages: Vec<PageWrite>) {
     for page in pages {
         txn.conditions.push(page.condition);
--- a/crates/worksshunt-core/src/fleet/mod.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -382,7 +382,14 @@
             let ordered: f64 = wanted.values().sum();
             let missing = ((needed - there) / each.max(1.0) - ordered).max(0.0);
             let by_slots = f64::from(demand.tasks) / slots;
-            *wanted.entry(offer).or_default() += by_slots.min(missing);
+            // What is busy does not become free in time for a replica.
+            let stands = demand.job.stands();
+            let count = if stands {
+                by_slots
+            } else {
+                by_slots.min(missing)
+            };
+            *wanted.entry(offer).or_default() += count;
         }
         wanted.retain(|_, count| *count > ROUNDING);
         let (offer, count) = wanted.into_iter().max_by(|(_, a), (_, b)| a.total_cmp(b))?;
@@ -601,11 +608,17 @@
 }
 
 /// Processors that would get all tasks done in time, if each job were done once its turn came. It is
-/// reckoned by team: where a job's last tasks end, the next job of its team takes their place.
+/// reckoned by team: where a job's last tasks end, the next job of its team takes their place. Replicas
+/// give theirs up to nobody.
 fn processors_needed(demand: &[Demand]) -> f64 {
     let mut teams: BTreeMap<&TeamName, (f64, f64)> = BTreeMap::new();
+    let mut standing = 0.0;
     for wanted in demand {
         let cpus = wanted.job.spec.cpus;
+        if wanted.job.stands() {
+            standing += cpus * f64::from(wanted.tasks + wanted.running);
+            continue;
+        }
         let waiting_s = f64::from(wanted.waiting) * wanted.job.spec.estimate_s;
         let (at_once, in_time) = teams.entry(&wanted.job.spec.team).or_default();
         *at_once += cpus * f64::from(wanted.tasks + wanted.running);
@@ -614,7 +627,8 @@
     teams
         .values()
         .map(|(at_once, in_time)| at_once.min(*in_time))
-        .sum()
+        .sum::<f64>()
+        + standing
 }
 
 fn allows(job: &Job, zone: Option<&String>, offer: &Offer) -> bool {
--- a/crates/worksshunt-core/src/jobs.rs
+++ b/crates/worksshunt-core/src/jobs.rs
@@ -11,10 +11,10 @@
 use worksshunt_wire::cloud::Catalog;
 use worksshunt_wire::settings::Team;
 use worksshunt_wire::state::{Changes, Listing, WatchEvent};
-use worksshunt_wire::user::{JobSpec, JobState};
+use worksshunt_wire::user::{JobKind, JobSpec, JobState};
 use worksshunt_wire::{JobId, NodeName, Revision, TaskId};
 
-use crate::constants::{DONE_CHUNK, FINALS_KEPT, MAX_TASKS};
+use crate::constants::{DONE_CHUNK, FINALS_KEPT, MAX_TASKS, ROUNDING};
 use crate::pages::Entry;
 use crate::placement::Room;
 use crate::quota::Quota;
@@ -103,6 +103,11 @@
 }
 
 impl Job {
+    /// Whether its tasks are replicas that run until the job is cancelled, so that it is never done.
+    pub fn stands(&self) -> bool {
+        self.spec.kind == JobKind::Standing
+    }
+
     /// When it should be complete, milliseconds since 1970.
     pub fn due_ms(&self) -> Option<u64> {
         let deadline = self.spec.deadline_s?;
@@ -196,8 +201,17 @@
     let Team {
         cpus_max, gpus_max, ..
     } = team;
-    if spec.cpus > *cpus_max || spec.gpus > *gpus_max {
-        return impossible("one task needs more than the team's limit");
+    // Replicas run all at once, other tasks one after the other if need be.
+    let (at_once, text) = match spec.kind {
+        JobKind::Array => (1.0, "one task needs more than the team's limit"),
+        JobKind::Standing => (
+            f64::from(spec.tasks),
+            "its replicas together need more than the team's limit",
+        ),
+    };
+    let over = |each: f64, limit: f64| each * at_once > limit + ROUNDING;
+    if over(spec.cpus, *cpus_max) || over(spec.gpus, *gpus_max) {
+        return impossible(text);
     }
     let need = Room {
         cpus: spec.cpus,
@@ -583,9 +597,10 @@
             tasks: (0..DONE_CHUNK).step_by(2).collect(),
             zones: BTreeMap::new(),
         };
+        let smallest = (crate::constants::LEAST_VALUE_KB * 1_024.0) as usize;
         assert!(
-            every_other.size(&(job, 0)) < 2_048,
-            "the worst entry fits a page"
+            every_other.size(&(job, 0)) * 2 <= smallest,
+            "the worst entry fits a page of the smallest value"
         );
         assert_eq!(
             read_completions(&serde_json::json!({ "bits": "AAAA" })),
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -21,8 +21,8 @@
 use worksshunt_wire::{Attempt, Epoch, JobId, MachineId, NodeName, Revision, Session};
 
 use crate::constants::{
-    AUTHORITY_MS, CLOCK_DRIFT, LEASE_MARGIN_MS, QUEUED_MS, SILENT_REPORTS, UNREACHED_MACHINES,
-    UNREACHED_REPORTS, UNREACHED_RETURN_LEASES,
+    AUTHORITY_MS, CLOCK_DRIFT, LEASE_MARGIN_MS, QUEUED_MS, SILENT_REPORTS, STEADY_REPLICA_MS,
+    UNREACHED_MACHINES, UNREACHED_REPORTS, UNREACHED_RETURN_LEASES,
 };
 use crate::jobs::{Job, Mirror};
 use crate::pages::{page_bytes, PageWrite, Pages};
@@ -101,6 +101,11 @@
         }
     }
 
+    /// The state service's limits have changed; counts from the next epoch on.
+    pub fn set_limits(&mut self, state: &StateLimits) {
+        self.page_bytes = page_bytes(state);
+    }
+
     /// Starts an epoch with the records found at its start. Machines that were this controller's in
     /// the epoch just before as well (`was_mine`) are kept as they are, with what is known of their
     /// workers and leases: nobody else had a say in them. Measured speeds are kept in any case.
@@ -271,7 +276,10 @@
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
-        if how == End::Error && machine.failing.insert(held.task.job) {
+        // That a replica ends after running well does not speak against its machine.
+        let ran_well = held.job.as_ref().is_some_and(|job| job.stands())
+            && matches!(held.state, HeldState::Running(since) if now.since(since) >= STEADY_REPLICA_MS);
+        if how == End::Error && !ran_well && machine.failing.insert(held.task.job) {
             let jobs = machine.failing.len();
             tracing::info!(task = %held.task, machine = %id, jobs, "failed here");
         }
--- a/crates/worksshunt-core/src/machines/reports.rs
+++ b/crates/worksshunt-core/src/machines/reports.rs
@@ -199,6 +199,12 @@
                 (TaskState::Fetching, _) => held.step(HeldState::Fetching),
                 (TaskState::Running, _) => held.step(HeldState::Running(now)),
                 (TaskState::Saving, _) => held.step(HeldState::Saving),
+                // A replica is never done: one that ends has failed, whatever it says.
+                (TaskState::Ended, Some(ExitReason::Done))
+                    if held.job.as_ref().is_some_and(|job| job.stands()) =>
+                {
+                    ended.push((listed.attempt, End::Error));
+                }
                 (TaskState::Ended, Some(ExitReason::Done)) => {
                     if held.state != HeldState::Completed {
                         machine.failing.clear();
--- a/crates/worksshunt-core/src/membership.rs
+++ b/crates/worksshunt-core/src/membership.rs
@@ -5,7 +5,10 @@
 //! that restarts is another member. Whoever finds the leader's member key gone writes the next
 //! epoch, conditional on the present one.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use worksshunt_wire::state::{Change, Condition, Listing, Txn};
 use worksshunt_wire::{Epoch, NodeName, Revision};
 
@@ -17,6 +20,8 @@
 /// Key of the epoch.
 pub const EPOCH: &str = "c/epoch";
 const MEMBERS: &str = "c/n/";
+/// Field of a member key by which a controller says that it understands standing jobs.
+const STANDING: &str = "standing";
 /// Prefix of the member keys of the first release, whose records and messages differ. The two must
 /// not act together: this one waits until no such member is left.
 const FORMER_MEMBERS: &str = "c/m/";
@@ -47,6 +52,11 @@
     /// Members that own no machines: workers do not reach them, or the leader does not answer them.
     #[serde(default)]
     pub unreached: Vec<Member>,
+    /// Whether every controller of the deployment has been seen to understand standing jobs, so that
+    /// none that does not can meet one. A version that does not know the field leaves it out of the
+    /// next epoch, after which no more are taken in.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub standing: bool,
 }
 
 impl EpochRecord {
@@ -109,12 +119,18 @@
     former_seen: bool,
     /// Members seen alive but not in the epoch, with the reads in a row that showed them.
     waiting: Vec<(Member, u32)>,
+    /// All controllers of the deployment.
+    all: BTreeSet<NodeName>,
+    /// Controllers whose last member key said that they understand standing jobs.
+    understand: BTreeSet<NodeName>,
 }
 
 impl Membership {
-    /// A controller that has just started.
-    pub fn new(me: NodeName) -> Membership {
+    /// A controller that has just started, in a deployment with these others.
+    pub fn new(me: NodeName, others: impl Iterator<Item = NodeName>) -> Membership {
         Membership {
+            all: others.chain([me.clone()]).collect(),
+            understand: BTreeSet::new(),
             me,
             standing: Standing::Homeless,
             hold: None,
@@ -160,6 +176,11 @@
         self.epoch.as_ref().map(|(record, _)| record)
     }
 
+    /// Whether standing jobs may be taken in: no controller that does not understand them can be left.
+    pub fn takes_standing(&self) -> bool {
+        self.epoch().is_some_and(|epoch| epoch.standing)
+    }
+
     /// The token it acts under; 0 before any epoch is known.
     pub fn token(&self) -> Epoch {
         self.epoch().map_or(Epoch(0), |epoch| epoch.number)
@@ -235,7 +256,9 @@
             }],
             changes: vec![Change::Put {
                 key,
-                value: serde_json::json!({ "hold": hold, "reached": self.saying }),
+                value: serde_json::json!({
+                    "hold": hold, "reached": self.saying, STANDING: true,
+                }),
                 hold: Some(hold),
             }],
         })
@@ -315,6 +338,10 @@
                 name: name.into(),
                 hold,
             };
+            match pair.value.get(STANDING) {
+                Some(Value::Bool(true)) => self.understand.insert(member.name.clone()),
+                _ => self.understand.remove(&member.name),
+            };
             if pair.value.get("reached") == Some(&false.into()) {
                 unreached.push(member.clone());
             }
@@ -366,8 +393,9 @@
 
     /// The next epoch, if this controller should write it.
     fn propose(&mut self, me: &Member, alive: &[Member], unreached: &[Member]) -> Option<Txn> {
-        let (number, version, members) = match &self.epoch {
-            None => (Epoch(1), Revision(0), alive.to_vec()),
+        let all_understand = self.all.is_subset(&self.understand);
+        let (number, version, standing) = match &self.epoch {
+            None => (Epoch(1), Revision(0), all_understand),
             Some((epoch, version)) => {
                 let leader_alive = alive.contains(&epoch.leader);
                 if leader_alive && epoch.leader != *me {
@@ -384,17 +412,19 @@
                 let admit = self.waiting.iter().any(|(_, n)| *n >= ADMIT_AFTER_READS);
                 let known = unreached.iter().filter(|m| present.contains(m));
                 let reach = !known.eq(epoch.unreached.iter());
-                if leader_alive && !gone && !admit && !reach {
+                let standing = epoch.standing || all_understand;
+                if leader_alive && !gone && !admit && !reach && standing == epoch.standing {
                     return None;
                 }
-                (Epoch(epoch.number.0 + 1), *version, alive.to_vec())
+                (Epoch(epoch.number.0 + 1), *version, standing)
             }
         };
         let record = EpochRecord {
             number,
             leader: me.clone(),
-            members,
+            members: alive.to_vec(),
             unreached: unreached.to_vec(),
+            standing,
         };
         let value = serde_json::to_value(record).ok()?;
         Some(Txn {
@@ -427,7 +457,7 @@
     // that was on its way while the key was written.
     #[test]
     fn a_read_from_before_the_member_key_does_not_show_it_gone() {
-        let mut membership = Membership::new("estiba-0".into());
+        let mut membership = Membership::new("estiba-0".into(), std::iter::empty());
         membership.granted(7);
         assert!(membership.join_txn().is_none(), "its version is not known");
         membership.control_read(Time(10), &listing(4, Vec::new()));
--- a/crates/worksshunt-core/src/pages.rs
+++ b/crates/worksshunt-core/src/pages.rs
@@ -17,16 +17,15 @@
 use worksshunt_wire::Revision;
 
 use crate::constants::{
-    LAZY_PAGE_MS, PAGES_AT_ONCE, PAGE_MARGIN_BYTES, PAGE_ROOM, TXN_BYTES, URGENT_ENTRIES,
+    LAZY_PAGE_MS, PAGES_AT_ONCE, PAGE_MARGIN, PAGE_ROOM, TXN_BYTES, URGENT_ENTRIES,
 };
 use crate::time::Time;
 
 /// Bytes a page may take, so that it keeps the value limit and a write of several the transaction's.
 pub fn page_bytes(state: &StateLimits) -> usize {
     let value = (state.value_kb * 1_024.0) as usize;
-    value
-        .min(TXN_BYTES / PAGES_AT_ONCE)
-        .saturating_sub(PAGE_MARGIN_BYTES)
+    let most = value.min(TXN_BYTES / PAGES_AT_ONCE);
+    most - most / PAGE_MARGIN
 }
 
 /// What pages hold.
@@ -166,9 +165,12 @@
             writes.extend(self.begin(index));
         }
         while writes.len() < most {
+            // A page written under larger limits than today's stays as it is until what is left of it
+            // keeps them: what is on it and no longer needed misleads for a while at the most.
             let due = |page: &Page<E>| {
                 matches!(page.state, PageState::Stored(_))
                     && page.rewrite_at.is_some_and(|at| now >= at)
+                    && page.size <= self.bytes
             };
             let Some(index) = self.pages.iter().position(due) else {
                 break;
--- a/crates/worksshunt-core/src/users.rs
+++ b/crates/worksshunt-core/src/users.rs
@@ -332,7 +332,7 @@
         name: &mut impl FnMut() -> String,
     ) -> bool {
         // Two conditions a job and one a page, of four a change (protocol).
-        let most = limits.txn_ops * 2 - PAGES_AT_ONCE;
+        let most = (limits.txn_ops * 2).saturating_sub(PAGES_AT_ONCE).max(1);
         let first = self.accepting.len();
         let mut room = usize::MAX;
         while self.accepting.len() < most {
--- a/crates/worksshunt-net/src/state.rs
+++ b/crates/worksshunt-net/src/state.rs
@@ -142,8 +142,8 @@
         400 if body.windows(13).any(|part| part == b"no such lease") => StoreReply::NoSuchHold,
         400 => {
             let answer = String::from_utf8_lossy(&body);
-            tracing::error!(%answer, "the state service calls a transaction malformed");
-            StoreReply::Refused
+            tracing::warn!(%answer, "the state service does not take a transaction");
+            StoreReply::TooLarge
         }
         _ => other(status),
     })
--- a/crates/worksshunt-wire/src/settings.rs
+++ b/crates/worksshunt-wire/src/settings.rs
@@ -114,6 +114,44 @@
     pub value_kb: f64,
     /// Changes per transaction.
     pub txn_ops: usize,
+    /// Limits that come into force at some later moment, without notice.
+    #[serde(default)]
+    pub next: Option<NextStateLimits>,
+}
+
+impl StateLimits {
+    /// Limits that keep both those of today and those announced.
+    pub fn lowest(&self) -> StateLimits {
+        let next = self.next.clone().unwrap_or_default();
+        StateLimits {
+            rps: next.rps.map_or(self.rps, |rps| rps.min(self.rps)),
+            write_rps: next
+                .write_rps
+                .map_or(self.write_rps, |rps| rps.min(self.write_rps)),
+            value_kb: next
+                .value_kb
+                .map_or(self.value_kb, |kb| kb.min(self.value_kb)),
+            txn_ops: next.txn_ops.map_or(self.txn_ops, |n| n.min(self.txn_ops)),
+            next: None,
+        }
+    }
+}
+
+/// Limits of the state service announced for later; any of them may be missing.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct NextStateLimits {
+    /// Requests per second.
+    #[serde(default)]
+    pub rps: Option<f64>,
+    /// Changes per second.
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    /// Largest value, KiB.
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    /// Changes per transaction.
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
 }
 
 /// Limits of the cloud.
--- a/crates/worksshunt-wire/src/user.rs
+++ b/crates/worksshunt-wire/src/user.rs
@@ -24,6 +24,8 @@
 pub enum JobKind {
     /// Independent tasks, each of which runs to completion.
     Array,
+    /// Replicas of a service, which run until the job is cancelled.
+    Standing,
 }
 
 /// A submitted job, as the user describes it.
--- a/crates/worksshunt/src/options.rs
+++ b/crates/worksshunt/src/options.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 
 use serde::Deserialize;
-use worksshunt_core::constants::{LEAST_SOCKETS, LEAST_TXN_OPS};
+use worksshunt_core::constants::{LEAST_SOCKETS, LEAST_TXN_OPS, LEAST_VALUE_KB};
 use worksshunt_core::placement::Parameters;
 use worksshunt_wire::settings::Settings;
 
@@ -140,19 +140,36 @@
     positive("facts.workers.report_s", facts.workers.report_s)?;
     positive("facts.workers.lease_s", facts.workers.lease_s)?;
     positive("facts.workers.cancel_s", facts.workers.cancel_s)?;
-    positive("facts.state.rps", facts.state.rps)?;
-    positive("facts.state.write_rps", facts.state.write_rps)?;
-    positive("facts.state.value_kb", facts.state.value_kb)?;
+    let next = facts.state.next.clone().unwrap_or_default();
+    let today = &facts.state;
+    for (field, rate) in [
+        ("facts.state.rps", Some(today.rps)),
+        ("facts.state.write_rps", Some(today.write_rps)),
+        ("facts.state.next.rps", next.rps),
+        ("facts.state.next.write_rps", next.write_rps),
+    ] {
+        rate.map_or(Ok(()), |rate| positive(field, rate))?;
+    }
+    for (field, kb) in [
+        ("facts.state.value_kb", Some(today.value_kb)),
+        ("facts.state.next.value_kb", next.value_kb),
+    ] {
+        if kb.is_some_and(|kb| !kb.is_finite() || kb < LEAST_VALUE_KB) {
+            return Err(format!("{field}: not a number from {LEAST_VALUE_KB} up"));
+        }
+    }
+    for (field, ops) in [
+        ("facts.state.txn_ops", Some(today.txn_ops)),
+        ("facts.state.next.txn_ops", next.txn_ops),
+    ] {
+        if let Some(ops) = ops.filter(|ops| *ops < LEAST_TXN_OPS) {
+            return Err(format!("{field}: {ops} is below {LEAST_TXN_OPS}"));
+        }
+    }
     positive("facts.cloud.rps", facts.cloud.rps)?;
     if !(facts.cloud.list_lag_s.is_finite() && facts.cloud.list_lag_s >= 0.0) {
         return Err("facts.cloud.list_lag_s: not a duration".to_owned());
     }
-    if facts.state.txn_ops < LEAST_TXN_OPS {
-        return Err(format!(
-            "facts.state.txn_ops: {} is below {}",
-            facts.state.txn_ops, LEAST_TXN_OPS
-        ));
-    }
     if facts.limits.sockets < LEAST_SOCKETS {
         return Err(format!(
             "facts.limits.sockets: {} is below {}",
@@ -192,12 +209,31 @@
     #[test]
     fn settings_with_unknown_fields_are_fine() {
         assert_eq!(problem(|_| {}), Ok(()));
+        for next in [
+            serde_json::Value::Null,
+            serde_json::json!({}),
+            serde_json::json!({"value_kb": 2.0, "news": 1}),
+            serde_json::json!({"txn_ops": 6, "write_rps": 1e6}),
+        ] {
+            let given = next.clone();
+            assert_eq!(
+                problem(|v| v["facts"]["state"]["next"] = given),
+                Ok(()),
+                "{next}"
+            );
+        }
     }
 
     #[test]
     fn contradictions_are_named_by_field() {
         type Change = fn(&mut serde_json::Value);
-        let cases: [(&str, Change); 5] = [
+        let cases: [(&str, Change); 7] = [
+            ("facts.state.next.txn_ops", |v| {
+                v["facts"]["state"]["next"] = serde_json::json!({"txn_ops": 1})
+            }),
+            ("facts.state.next.value_kb", |v| {
+                v["facts"]["state"]["next"] = serde_json::json!({"value_kb": 0.0, "rps": 9.0})
+            }),
             ("facts.teams.cpus", |v| {
                 v["facts"]["teams"][0]["cpus"] = 3.0.into()
             }),
