Ordinary machines are left to replicas, with room for those expected; stops at once

Work that may run on spot now leaves them alone while standing jobs are open; the fleet keeps room for the largest and for what comes in two boot times; a replica without room has others stopped at once, also when it is spread over zones.

--- a/crates/worksshunt-core/src/allotment/handout.rs
+++ b/crates/worksshunt-core/src/allotment/handout.rs
@@ -1,6 +1,6 @@
 //! Rounds of handing out waiting tasks.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use worksshunt_wire::{Attempt, JobId, MachineId, NodeName, TaskId};
@@ -190,6 +190,7 @@
             }
             if found < at_once {
                 if let Some(work) = self.jobs.get_mut(&id) {
+                    self.replica_stuck |= job.stands() && work.stuck_since.is_none();
                     work.stuck_since.get_or_insert(now.steady);
                 }
                 return;
@@ -274,6 +275,7 @@
             .filter_map(|id| {
                 let view = part.machines.get(id)?;
                 let fits = view.room.holds(&need)
+                    && (view.up.spot || !self.leaves_ordinary(job))
                     && job.allows(&view.up.machine_type, &view.up.zone, view.up.spot)
                     && zones.is_none_or(|zones| zones.contains(&view.up.zone))
                     && !self.claims.contains_key(id);
@@ -315,6 +317,11 @@
 
     /// The zones the job's next task may be in; none where its other tasks do not decide that.
     pub(super) fn allowed_zones(&self, job: &Job) -> Option<BTreeSet<String>> {
+        Some(self.zone_room(job)?.into_keys().collect())
+    }
+
+    /// How many more of the job's tasks each zone may have; none where its other tasks do not decide that.
+    pub(super) fn zone_room(&self, job: &Job) -> Option<BTreeMap<String, u32>> {
         if !job.zones_matter() {
             return None;
         }
@@ -340,15 +347,16 @@
         }
         // An attempt somewhere unknown (inherited, its machine silent) may be in any zone.
         if unplaced > 0 && job.spec.one_zone {
-            return Some(BTreeSet::new());
+            return Some(BTreeMap::new());
         }
         let all: BTreeSet<String> = self.machines().map(|m| m.up.zone.clone()).collect();
         let fixed = job.spec.one_zone && !counts.is_empty();
         Some(
             all.into_iter()
-                .filter(|zone| {
-                    let count = counts.get(zone).copied().unwrap_or(0);
-                    (!fixed || count > 0) && count + unplaced < job.zone_limit()
+                .filter_map(|zone| {
+                    let count = counts.get(&zone).copied().unwrap_or(0);
+                    let left = job.zone_limit().saturating_sub(count + unplaced);
+                    ((!fixed || count > 0) && left > 0).then_some((zone, left))
                 })
                 .collect(),
         )
--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -19,7 +19,7 @@
 use worksshunt_wire::{Attempt, Epoch, JobId, MachineId, NodeName, Revision, TaskId};
 
 use crate::constants::{
-    ERRORS_BEFORE_BACKOFF, ERROR_BACKOFF_MAX_MS, ERROR_BACKOFF_MS, LEFT_AT_LEAST,
+    ERRORS_BEFORE_BACKOFF, ERROR_BACKOFF_MAX_MS, ERROR_BACKOFF_MS, LATELY_MS, LEFT_AT_LEAST,
     REPLICA_BACKOFF_MAX_MS, STEADY_REPLICA_MS,
 };
 use crate::jobs::{completions_key, read_completions, Completions, DoneSet, Job, Mirror, DONE};
@@ -209,6 +209,19 @@
     pub slack_s: f64,
     /// The zone they must be in.
     pub zone: Option<String>,
+    /// Whether they leave ordinary machines to others.
+    pub spot_only: bool,
+}
+
+/// What is likely to be asked for next of a class of standing jobs.
+#[derive(Debug, Clone)]
+pub struct Expected {
+    /// One of the jobs.
+    pub job: Rc<Job>,
+    /// Replicas of the largest.
+    pub largest: u32,
+    /// Replicas of those that came within [`LATELY_MS`].
+    pub lately: u32,
 }
 
 /// The leader's state.
@@ -229,6 +242,10 @@
     former: Pages<Recorded>,
     /// Which of the two was first in the last write.
     former_first: bool,
+    /// Open standing jobs.
+    standing: BTreeSet<JobId>,
+    /// A replica has found no room since others were last stopped.
+    replica_stuck: bool,
 }
 
 /// What a new leader finds in the store.
@@ -271,10 +288,11 @@
             pages: Pages::new(DONE.to_owned(), page_bytes(&facts.state)),
             former: Pages::new(RECORDS.to_owned(), page_bytes(&facts.state)),
             former_first: false,
+            standing: BTreeSet::new(),
+            replica_stuck: false,
         };
         for (id, open) in mirror.open() {
-            let work = Work::new(Rc::clone(&open.job), &this.objectives);
-            this.jobs.insert(*id, work);
+            this.open(*id, &open.job);
         }
         for pair in &found.done {
             this.load_completions(now, pair);
@@ -355,6 +373,9 @@
         self.jobs
             .entry(id)
             .or_insert_with(|| Work::new(Rc::clone(job), &self.objectives));
+        if job.stands() {
+            self.standing.insert(id);
+        }
         self.round.stir();
     }
 
@@ -368,6 +389,7 @@
         let Some(work) = self.jobs.remove(&id) else {
             return;
         };
+        self.standing.remove(&id);
         let last = completions_key(TaskId {
             job: id,
             index: work.job.spec.tasks - 1,
@@ -671,9 +693,39 @@
                     running_s,
                     slack_s: self.objectives.slack_s(&work.job),
                     zone,
+                    spot_only: self.leaves_ordinary(&work.job),
                 });
             }
         }
         demand
     }
+
+    /// Whether a job that may run on spot machines leaves the others to standing jobs, which may not and
+    /// have to be there within seconds.
+    fn leaves_ordinary(&self, job: &Job) -> bool {
+        job.spec.spot && !self.standing.is_empty()
+    }
+
+    /// Whether a replica has newly found no room.
+    pub fn replica_stuck(&self) -> bool {
+        self.replica_stuck
+    }
+
+    /// What is likely to be asked for next, judged by the standing jobs that are open, by class.
+    pub fn expected(&self, now: Now) -> Vec<Expected> {
+        let mut classes: BTreeMap<&str, Expected> = BTreeMap::new();
+        let works = self.standing.iter().filter_map(|id| self.jobs.get(id));
+        for Work { job, .. } in works {
+            let class = classes.entry(&job.spec.class).or_insert(Expected {
+                job: Rc::clone(job),
+                largest: 0,
+                lately: 0,
+            });
+            class.largest = class.largest.max(job.spec.tasks);
+            if now.wall_ms.saturating_sub(job.accepted_ms) < LATELY_MS {
+                class.lately += job.spec.tasks;
+            }
+        }
+        classes.into_values().collect()
+    }
 }
--- a/crates/worksshunt-core/src/allotment/preempt.rs
+++ b/crates/worksshunt-core/src/allotment/preempt.rs
@@ -52,10 +52,13 @@
     /// What would be served before the waiting task anyway is never stopped for it, so nothing is
     /// stopped twice in a row.
     pub fn preempt(&mut self, now: Now, budget: &Budget) {
+        self.replica_stuck = false;
         let waits = |work: &&Work| {
             let long = |since| now.steady.since(since) >= PREEMPT_AFTER_MS;
-            work.stuck_since.is_some_and(long)
-                && !work.job.zones_matter()
+            let stands = work.job.stands();
+            work.stuck_since.is_some_and(|since| stands || long(since))
+                && (stands || !work.job.zones_matter())
+                && !work.job.spec.one_zone
                 && self.quota.admits(&work.job)
                 && self.presses(&work.job, now, self.quota.guarantees(&work.job))
         };
@@ -79,7 +82,7 @@
     }
 
     fn presses(&self, job: &Job, now: Now, guaranteed: bool) -> bool {
-        self.objectives.pressing(job, now.wall_ms, guaranteed)
+        job.stands() || self.objectives.pressing(job, now.wall_ms, guaranteed)
     }
 
     fn choose_victims(&self, stuck: &[Stuck], now: Now, budget: &Budget) -> Vec<Attempt> {
@@ -87,6 +90,7 @@
         let mut quota = self.quota.clone();
         let mut chosen = Vec::new();
         for (_, job, waiting) in stuck {
+            let mut zones = self.zone_room(job);
             for _ in 0..*waiting {
                 let guaranteed = quota.guarantees(job);
                 let guarantee = match (guaranteed, self.round.presses(job)) {
@@ -97,12 +101,21 @@
                 if budget.spent() {
                     return chosen;
                 }
-                if !quota.admits(job)
-                    || !self.presses(job, now, guaranteed)
-                    || !make_room(job, guarantee, &mut quota, &mut grounds, &mut chosen)
-                {
+                if !quota.admits(job) || !self.presses(job, now, guaranteed) {
                     break;
                 }
+                let zone = make_room(
+                    job,
+                    guarantee,
+                    zones.as_ref(),
+                    &mut quota,
+                    &mut grounds,
+                    &mut chosen,
+                );
+                let Some(zone) = zone else { break };
+                if let Some(left) = zones.as_mut().and_then(|zones| zones.get_mut(&zone)) {
+                    *left -= 1;
+                }
             }
         }
         chosen
@@ -157,19 +170,24 @@
     }
 }
 
-/// Makes room for one task of the job where that loses least work; false if nothing can.
+/// Makes room for one task of the job where that loses least work, in a zone that may have more of them;
+/// the zone, if there is one.
 fn make_room(
     job: &Job,
     guarantee: Guarantee,
+    zones: Option<&BTreeMap<String, u32>>,
     quota: &mut Quota,
     grounds: &mut BTreeMap<MachineId, Ground>,
     chosen: &mut Vec<Attempt>,
-) -> bool {
+) -> Option<String> {
     let need = Room::of_job(job);
     let mut best: Option<(u64, MachineId, Vec<usize>)> = None;
     for (id, ground) in grounds.iter() {
         let machine = ground.machine;
-        if !job.allows(&machine.machine_type, &machine.zone, machine.spot) {
+        let open = |zones: &BTreeMap<String, u32>| zones.get(&machine.zone).is_some_and(|n| *n > 0);
+        if !job.allows(&machine.machine_type, &machine.zone, machine.spot)
+            || !zones.is_none_or(open)
+        {
             continue;
         }
         let mut room = ground.room;
@@ -195,11 +213,10 @@
             best = Some((cost, id.clone(), stopped));
         }
     }
-    let Some((lost_ms, id, stopped)) = best else {
-        return false;
-    };
+    let (lost_ms, id, stopped) = best?;
     quota.take(job);
-    if let Some(ground) = grounds.get_mut(&id) {
+    let ground = grounds.get_mut(&id)?;
+    {
         for index in stopped.into_iter().rev() {
             let victim = ground.victims.remove(index);
             ground.room.give_back(&Room::of_job(&victim.job));
@@ -209,7 +226,7 @@
         }
         ground.room.take(&need);
     }
-    true
+    Some(ground.machine.zone.clone())
 }
 
 /// Whether a task of `other`, whose team is `over` its guarantee or not, may be stopped for one of
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -262,6 +262,13 @@
 /// Milliseconds of work that stopping a replica counts as: a day, more than any task loses.
 pub const REPLICA_LOSS_MS: u64 = 86_400_000;
 
+/// Milliseconds back to which standing jobs that came tell how many will come: some boot times.
+pub const LATELY_MS: u64 = 120_000;
+
+/// Boot times for which room is kept for replicas that are expected: a boot takes up to one and a half
+/// of the usual, and some machines never come up.
+pub const RESERVE_BOOTS: f64 = 2.0;
+
 /// Failures of a job after which its tasks wait between tries.
 pub const ERRORS_BEFORE_BACKOFF: u32 = 3;
 
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -416,7 +416,8 @@
         let (Some(leader), Some(catalog)) = (&mut self.leader, &self.catalog) else {
             return;
         };
-        if self.press_turn.due(t) && leader.allotment.all_heard() {
+        let pressing = self.press_turn.due(t) || leader.allotment.replica_stuck();
+        if pressing && leader.allotment.all_heard() {
             self.press_turn.next = t + PRESS_EVERY_MS;
             leader.allotment.take_back(t);
             leader.allotment.claim(t);
@@ -450,9 +451,9 @@
             }
             leader.fleet.heard(t, leader.allotment.machines());
             let demand = leader.allotment.demand(now);
-            let requests = leader
-                .fleet
-                .plan(t, catalog, leader.allotment.machines(), &demand);
+            let expected = leader.allotment.expected(now);
+            let machines = leader.allotment.machines();
+            let requests = leader.fleet.plan(t, catalog, machines, &demand, &expected);
             for request in requests {
                 self.cloud_calls.take(1);
                 out.push(Action::Cloud(request));
--- a/crates/worksshunt-core/src/fleet/mod.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod listing;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 use worksshunt_wire::cloud::{
     Catalog, ListedMachine, ListedState, MachineList, MachineNames, RentRequest,
@@ -11,12 +12,11 @@
 use worksshunt_wire::settings::{CloudLimits, Workers};
 use worksshunt_wire::{Epoch, MachineId, TeamName};
 
-use crate::allotment::{Demand, MachineView};
+use crate::allotment::{Demand, Expected, MachineView};
 use crate::constants::{
-    BOOT_EXTRA_S, BOOT_FACTOR, IDLE_BOOTS, IDLE_LEAST_MS, RENTALS_AT_ONCE, RENT_MOST,
-    RENT_REFUSED_MS, RETURN_MOST, ROUNDING, UNHEARD_REPORTS,
+    BOOT_EXTRA_S, BOOT_FACTOR, IDLE_BOOTS, IDLE_LEAST_MS, LATELY_MS, RENTALS_AT_ONCE, RENT_MOST,
+    RENT_REFUSED_MS, RESERVE_BOOTS, RETURN_MOST, ROUNDING, UNHEARD_REPORTS,
 };
-use crate::jobs::Job;
 use crate::placement::Room;
 use crate::time::Time;
 
@@ -110,6 +110,15 @@
     }
 }
 
+/// A machine that takes tasks or is going to, with the room on it.
+#[derive(Debug, Clone)]
+struct Supply {
+    offer: Offer,
+    room: Room,
+    /// Its name, if nothing is on it.
+    empty: Option<MachineId>,
+}
+
 /// A request the leader wants sent to the cloud.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CloudRequest {
@@ -283,17 +292,26 @@
         catalog: &Catalog,
         machines: impl Iterator<Item = &'a MachineView>,
         demand: &[Demand],
+        expected: &[Expected],
     ) -> Vec<CloudRequest> {
         let mut requests = Vec::new();
         let machines: Vec<&MachineView> = machines.collect();
         let mut supply = self.supply(now, catalog, &machines);
         let mut there: BTreeMap<Offer, f64> = BTreeMap::new();
-        for (offer, _) in &supply {
+        for Supply { offer, .. } in &supply {
             let cpus = catalog.get(&offer.machine_type).map_or(0.0, |t| t.cpus);
             *there.entry(offer.clone()).or_default() += cpus;
         }
         let mut left = unserved(&mut supply, demand);
-        if let Some(names) = self.returns(now, catalog, &machines) {
+        // What is expected takes what is busy already first, so that as few machines as can be stand by.
+        let reserve: Vec<Demand> = expected.iter().flat_map(|e| reserve(e, catalog)).collect();
+        supply.sort_by(|a, b| a.room.cpus.total_cmp(&b.room.cpus));
+        let empty: BTreeSet<MachineId> = supply.iter().filter_map(|s| s.empty.clone()).collect();
+        let beyond = unserved(&mut supply, &reserve);
+        let spare: BTreeSet<&MachineId> = supply.iter().filter_map(|s| s.empty.as_ref()).collect();
+        let kept = empty.iter().filter(|id| !spare.contains(id)).collect();
+        left.extend(beyond);
+        if let Some(names) = self.returns(now, catalog, &machines, &kept) {
             self.return_in_flight = true;
             requests.push(CloudRequest::Return(names));
         }
@@ -310,7 +328,7 @@
             };
             let mut asked = asked_for(&request, catalog);
             *there.entry(Offer::from(&request)).or_default() +=
-                asked.iter().map(|(_, room)| room.cpus).sum::<f64>();
+                asked.iter().map(|supply| supply.room.cpus).sum::<f64>();
             left = unserved(&mut asked, &left);
             self.renting.push(Rental {
                 request: request.clone(),
@@ -322,16 +340,15 @@
     }
 
     /// Machines that take tasks, those that boot and those asked for, with the room on each.
-    fn supply(
-        &self,
-        now: Time,
-        catalog: &Catalog,
-        machines: &[&MachineView],
-    ) -> Vec<(Offer, Room)> {
+    fn supply(&self, now: Time, catalog: &Catalog, machines: &[&MachineView]) -> Vec<Supply> {
         let up = machines
             .iter()
             .filter(|view| view.up.usable)
-            .map(|view| (Offer::from(&view.up), view.room));
+            .map(|view| Supply {
+                offer: Offer::from(&view.up),
+                room: view.room,
+                empty: view.idle_since.map(|_| view.up.id.clone()),
+            });
         let booting = self
             .machines
             .values()
@@ -340,7 +357,11 @@
             .filter(|t| t.running.is_none_or(|at| now.since(at) < self.unheard_ms))
             .filter_map(|t| {
                 let room = Room::of_type(catalog.get(&t.offer.machine_type)?);
-                Some((t.offer.clone(), room))
+                Some(Supply {
+                    offer: t.offer.clone(),
+                    room,
+                    empty: None,
+                })
             });
         let asked = self.renting.iter();
         let asked = asked.flat_map(|rental| asked_for(&rental.request, catalog));
@@ -376,7 +397,7 @@
             // Machines that are lost, noticed or silent will not do the work.
             let there: f64 = there
                 .iter()
-                .filter(|(offer, _)| allows(&demand.job, demand.zone.as_ref(), offer))
+                .filter(|(offer, _)| allows(demand, offer))
                 .map(|(_, cpus)| cpus)
                 .sum();
             let ordered: f64 = wanted.values().sum();
@@ -444,7 +465,7 @@
                         && demand.job.spec.spot
                         && demand.job.spec.deadline_s.is_none()
                         && t.spot_price.is_some();
-                    if can_wait || refused || !allows(&demand.job, demand.zone.as_ref(), &offer) {
+                    if can_wait || refused || !allows(demand, &offer) {
                         continue;
                     }
                     let in_zone = in_zone.get(zone).copied().unwrap_or(0);
@@ -467,12 +488,18 @@
         now: Time,
         catalog: &Catalog,
         machines: &[&MachineView],
+        kept: &BTreeSet<&MachineId>,
     ) -> Option<MachineNames> {
         let empty: BTreeSet<&MachineId> = machines
             .iter()
             .filter(|view| view.idle_since.is_some() && !view.up.usable)
             .map(|view| &view.up.id)
             .collect();
+        let busy: BTreeSet<&MachineId> = machines
+            .iter()
+            .filter(|view| view.idle_since.is_none() && !view.up.unreached && !view.up.noticed)
+            .map(|view| &view.up.id)
+            .collect();
         let mut names = Vec::new();
         for (id, tracked) in &mut self.machines {
             let boot_s = catalog
@@ -485,7 +512,11 @@
             let patience = ((boot_s * BOOT_FACTOR + BOOT_EXTRA_S) * 1_000.0) as u64;
             let silent = now.since(tracked.heard.unwrap_or(tracked.since)) > patience;
             match tracked.stage {
-                Stage::Up if idle => tracked.step(id, Stage::Draining),
+                Stage::Up if idle && !kept.contains(id) => tracked.step(id, Stage::Draining),
+                // A replica was on its way to it, and may stay for ever.
+                Stage::Draining if tracked.heard.is_some() && busy.contains(id) => {
+                    tracked.step(id, Stage::Up);
+                }
                 Stage::Booting | Stage::Up if silent => {
                     tracing::info!(machine = %id, stage = ?tracked.stage, "machine is silent: returned");
                     tracked.heard = None;
@@ -575,25 +606,71 @@
 }
 
 /// What a rental brings if it is granted in full.
-fn asked_for(request: &RentRequest, catalog: &Catalog) -> Vec<(Offer, Room)> {
+fn asked_for(request: &RentRequest, catalog: &Catalog) -> Vec<Supply> {
     let Some(machine_type) = catalog.get(&request.machine_type) else {
         return Vec::new();
     };
-    let machine = (Offer::from(request), Room::of_type(machine_type));
+    let machine = Supply {
+        offer: Offer::from(request),
+        room: Room::of_type(machine_type),
+        empty: None,
+    };
     vec![machine; request.count as usize]
 }
 
+/// Room kept for replicas that are likely to be asked for before a machine rented for them would be up, the
+/// largest job at any time.
+fn reserve(expected: &Expected, catalog: &Catalog) -> Vec<Demand> {
+    let job = &expected.job;
+    let mut zones: BTreeSet<&String> = BTreeSet::new();
+    let mut boot_s = f64::MAX;
+    for t in &catalog.types {
+        let allowed = t
+            .zones
+            .iter()
+            .filter(|zone| job.allows(&t.name, zone, false));
+        let before = zones.len();
+        zones.extend(allowed);
+        if zones.len() > before {
+            boot_s = boot_s.min(t.boot_s);
+        }
+    }
+    let lately_s = LATELY_MS as f64 / 1_000.0;
+    let coming = f64::from(expected.lately) / lately_s * boot_s * RESERVE_BOOTS;
+    let tasks = expected.largest + coming.ceil() as u32;
+    let demand = |zone: Option<String>, tasks: u32| Demand {
+        job: Rc::clone(job),
+        tasks,
+        waiting: tasks,
+        running: 0,
+        running_s: 0.0,
+        slack_s: 0.0,
+        zone,
+        spot_only: false,
+    };
+    if job.spec.spread && zones.len() > 1 {
+        let each = tasks.div_ceil(zones.len() as u32);
+        let zones = zones.into_iter().cloned();
+        zones.map(|zone| demand(Some(zone), each)).collect()
+    } else if zones.is_empty() {
+        Vec::new()
+    } else {
+        vec![demand(None, tasks)]
+    }
+}
+
 /// Demand that the supply will not serve at once. Takes what it does serve out of the supply.
-fn unserved(supply: &mut Vec<(Offer, Room)>, demand: &[Demand]) -> Vec<Demand> {
+fn unserved(supply: &mut Vec<Supply>, demand: &[Demand]) -> Vec<Demand> {
     let mut left = Vec::new();
     for wanted in demand {
         let need = Room::of_job(&wanted.job);
         let mut tasks = wanted.tasks;
-        supply.retain_mut(|(offer, room)| {
-            let allowed = allows(&wanted.job, wanted.zone.as_ref(), offer);
+        supply.retain_mut(|Supply { offer, room, empty }| {
+            let allowed = allows(wanted, offer);
             while tasks > 0 && allowed && room.holds(&need) {
                 room.take(&need);
                 tasks -= 1;
+                *empty = None;
             }
             room.cpus > ROUNDING
         });
@@ -631,9 +708,11 @@
         + standing
 }
 
-fn allows(job: &Job, zone: Option<&String>, offer: &Offer) -> bool {
+fn allows(demand: &Demand, offer: &Offer) -> bool {
+    let job = &demand.job;
     job.allows(&offer.machine_type, &offer.zone, offer.spot)
-        && zone.is_none_or(|zone| *zone == offer.zone)
+        && demand.zone.as_ref().is_none_or(|zone| *zone == offer.zone)
+        && (offer.spot || !demand.spot_only)
 }
 
 /// How many tasks of that need a machine holds.
@@ -653,9 +732,8 @@
 
 #[cfg(test)]
 mod tests {
-    use std::rc::Rc;
-
     use super::*;
+    use crate::jobs::Job;
 
     fn catalog() -> Catalog {
         serde_json::from_value(serde_json::json!({"Modelos": [
@@ -705,11 +783,12 @@
             running_s: 0.0,
             slack_s: 20.0,
             zone: None,
+            spot_only: false,
         }]
     }
 
     fn plan(fleet: &mut Fleet, now: u64, demand: &[Demand]) -> Vec<CloudRequest> {
-        fleet.plan(Time(now), &catalog(), std::iter::empty(), demand)
+        fleet.plan(Time(now), &catalog(), std::iter::empty(), demand, &[])
     }
 
     // Guards against minutes until a large fleet is there again, and against asking for it twice.
