A share of the guarantees stands by for a class that must start before a machine boots

Objectives tell which classes have to start sooner than a machine boots; until a job of each was seen, 2% of the guaranteed processors stand by.

--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::constants::{
     ERRORS_BEFORE_BACKOFF, ERROR_BACKOFF_MAX_MS, ERROR_BACKOFF_MS, LATELY_MS, LEFT_AT_LEAST,
-    REPLICA_BACKOFF_MAX_MS, STEADY_REPLICA_MS,
+    REPLICA_BACKOFF_MAX_MS, STANDBY_SHARE, STEADY_REPLICA_MS,
 };
 use crate::jobs::{completions_key, read_completions, Completions, DoneSet, Job, Mirror, DONE};
 use crate::objectives::Objectives;
@@ -213,6 +213,15 @@
     pub spot_only: bool,
 }
 
+/// What is likely to be asked for next and has to start within seconds.
+#[derive(Debug, Clone, Default)]
+pub struct Forecast {
+    /// By class of standing jobs.
+    pub classes: Vec<Expected>,
+    /// Processors to stand by for what nothing is known of yet.
+    pub standby_cpus: f64,
+}
+
 /// What is likely to be asked for next of a class of standing jobs.
 #[derive(Debug, Clone)]
 pub struct Expected {
@@ -244,6 +253,8 @@
     former_first: bool,
     /// Open standing jobs.
     standing: BTreeSet<JobId>,
+    /// Classes of which there has been a job.
+    seen: BTreeSet<String>,
     /// A replica has found no room since others were last stopped.
     replica_stuck: bool,
 }
@@ -289,6 +300,7 @@
             former: Pages::new(RECORDS.to_owned(), page_bytes(&facts.state)),
             former_first: false,
             standing: BTreeSet::new(),
+            seen: BTreeSet::new(),
             replica_stuck: false,
         };
         for (id, open) in mirror.open() {
@@ -376,6 +388,9 @@
         if job.stands() {
             self.standing.insert(id);
         }
+        if !self.seen.contains(&job.spec.class) {
+            self.seen.insert(job.spec.class.clone());
+        }
         self.round.stir();
     }
 
@@ -711,8 +726,19 @@
         self.replica_stuck
     }
 
-    /// What is likely to be asked for next, judged by the standing jobs that are open, by class.
-    pub fn expected(&self, now: Now) -> Vec<Expected> {
+    /// What is likely to be asked for next, judged by the standing jobs that are open. Before anything of
+    /// a class was seen whose tasks should start sooner than a machine boots, it may be a standing one.
+    pub fn forecast(&self, now: Now, boot_s: f64) -> Forecast {
+        let mut soon = self.objectives.start_within(boot_s);
+        let unseen = soon.any(|class| !self.seen.contains(class));
+        let share = if unseen { STANDBY_SHARE } else { 0.0 };
+        Forecast {
+            classes: self.expected(now),
+            standby_cpus: self.quota.guaranteed_cpus() * share,
+        }
+    }
+
+    fn expected(&self, now: Now) -> Vec<Expected> {
         let mut classes: BTreeMap<&str, Expected> = BTreeMap::new();
         let works = self.standing.iter().filter_map(|id| self.jobs.get(id));
         for Work { job, .. } in works {
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -265,6 +265,11 @@
 /// Milliseconds back to which standing jobs that came tell how many will come: some boot times.
 pub const LATELY_MS: u64 = 120_000;
 
+/// Share of all guaranteed processors that stands by, on ordinary machines, for a class of which nothing
+/// was seen yet but that has to start sooner than a machine boots: some of the smallest machines, cheap
+/// beside what the guarantees cost when they are used.
+pub const STANDBY_SHARE: f64 = 0.02;
+
 /// Boot times for which room is kept for replicas that are expected: a boot takes up to one and a half
 /// of the usual, and some machines never come up.
 pub const RESERVE_BOOTS: f64 = 2.0;
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -451,9 +451,9 @@
             }
             leader.fleet.heard(t, leader.allotment.machines());
             let demand = leader.allotment.demand(now);
-            let expected = leader.allotment.expected(now);
+            let forecast = leader.allotment.forecast(now, catalog.least_boot_s());
             let machines = leader.allotment.machines();
-            let requests = leader.fleet.plan(t, catalog, machines, &demand, &expected);
+            let requests = leader.fleet.plan(t, catalog, machines, &demand, &forecast);
             for request in requests {
                 self.cloud_calls.take(1);
                 out.push(Action::Cloud(request));
--- a/crates/worksshunt-core/src/fleet/mod.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -6,17 +6,18 @@
 use std::rc::Rc;
 
 use worksshunt_wire::cloud::{
-    Catalog, ListedMachine, ListedState, MachineList, MachineNames, RentRequest,
+    Catalog, ListedMachine, ListedState, MachineList, MachineNames, MachineType, RentRequest,
 };
 use worksshunt_wire::peer::MachineUp;
 use worksshunt_wire::settings::{CloudLimits, Workers};
 use worksshunt_wire::{Epoch, MachineId, TeamName};
 
-use crate::allotment::{Demand, Expected, MachineView};
+use crate::allotment::{Demand, Expected, Forecast, MachineView};
 use crate::constants::{
     BOOT_EXTRA_S, BOOT_FACTOR, IDLE_BOOTS, IDLE_LEAST_MS, LATELY_MS, RENTALS_AT_ONCE, RENT_MOST,
     RENT_REFUSED_MS, RESERVE_BOOTS, RETURN_MOST, ROUNDING, UNHEARD_REPORTS,
 };
+use crate::jobs::Job;
 use crate::placement::Room;
 use crate::time::Time;
 
@@ -292,7 +293,7 @@
         catalog: &Catalog,
         machines: impl Iterator<Item = &'a MachineView>,
         demand: &[Demand],
-        expected: &[Expected],
+        forecast: &Forecast,
     ) -> Vec<CloudRequest> {
         let mut requests = Vec::new();
         let machines: Vec<&MachineView> = machines.collect();
@@ -304,7 +305,9 @@
         }
         let mut left = unserved(&mut supply, demand);
         // What is expected takes what is busy already first, so that as few machines as can be stand by.
-        let reserve: Vec<Demand> = expected.iter().flat_map(|e| reserve(e, catalog)).collect();
+        let classes = forecast.classes.iter();
+        let mut reserve: Vec<Demand> = classes.flat_map(|class| reserve(class, catalog)).collect();
+        reserve.extend(standby(forecast.standby_cpus, catalog));
         supply.sort_by(|a, b| a.room.cpus.total_cmp(&b.room.cpus));
         let empty: BTreeSet<MachineId> = supply.iter().filter_map(|s| s.empty.clone()).collect();
         let beyond = unserved(&mut supply, &reserve);
@@ -638,7 +641,37 @@
     let lately_s = LATELY_MS as f64 / 1_000.0;
     let coming = f64::from(expected.lately) / lately_s * boot_s * RESERVE_BOOTS;
     let tasks = expected.largest + coming.ceil() as u32;
-    let demand = |zone: Option<String>, tasks: u32| Demand {
+    if job.spec.spread && zones.len() > 1 {
+        let each = tasks.div_ceil(zones.len() as u32);
+        let zones = zones.into_iter().cloned();
+        zones.map(|zone| kept_room(job, Some(zone), each)).collect()
+    } else if zones.is_empty() {
+        Vec::new()
+    } else {
+        vec![kept_room(job, None, tasks)]
+    }
+}
+
+/// So many processors of ordinary machines, in all zones, for what nothing is known of yet. They are
+/// asked for as replicas that take a whole machine of the cheapest type.
+fn standby(cpus: f64, catalog: &Catalog) -> Vec<Demand> {
+    let per_cpu = |t: &MachineType| t.price / t.cpus;
+    let cheapest = catalog.types.iter().filter(|t| t.cpus > 0.0);
+    let cheapest = cheapest.min_by(|a, b| per_cpu(a).total_cmp(&per_cpu(b)));
+    let Some(machine) = cheapest.filter(|_| cpus > 0.0) else {
+        return Vec::new();
+    };
+    let each = (cpus / machine.cpus / machine.zones.len() as f64).ceil() as u32;
+    let job = Rc::new(Job::whole_machine(machine));
+    let zones = machine.zones.iter().cloned();
+    zones
+        .map(|zone| kept_room(&job, Some(zone), each))
+        .collect()
+}
+
+/// Room kept for so many tasks that nobody has asked for yet.
+fn kept_room(job: &Rc<Job>, zone: Option<String>, tasks: u32) -> Demand {
+    Demand {
         job: Rc::clone(job),
         tasks,
         waiting: tasks,
@@ -647,15 +680,6 @@
         slack_s: 0.0,
         zone,
         spot_only: false,
-    };
-    if job.spec.spread && zones.len() > 1 {
-        let each = tasks.div_ceil(zones.len() as u32);
-        let zones = zones.into_iter().cloned();
-        zones.map(|zone| demand(Some(zone), each)).collect()
-    } else if zones.is_empty() {
-        Vec::new()
-    } else {
-        vec![demand(None, tasks)]
     }
 }
 
@@ -733,7 +757,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::jobs::Job;
 
     fn catalog() -> Catalog {
         serde_json::from_value(serde_json::json!({"Modelos": [
@@ -788,7 +811,13 @@
     }
 
     fn plan(fleet: &mut Fleet, now: u64, demand: &[Demand]) -> Vec<CloudRequest> {
-        fleet.plan(Time(now), &catalog(), std::iter::empty(), demand, &[])
+        fleet.plan(
+            Time(now),
+            &catalog(),
+            std::iter::empty(),
+            demand,
+            &Forecast::default(),
+        )
     }
 
     // Guards against minutes until a large fleet is there again, and against asking for it twice.
--- a/crates/worksshunt-core/src/jobs.rs
+++ b/crates/worksshunt-core/src/jobs.rs
@@ -8,11 +8,11 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use worksshunt_wire::cloud::Catalog;
+use worksshunt_wire::cloud::{Catalog, MachineType};
 use worksshunt_wire::settings::Team;
 use worksshunt_wire::state::{Changes, Listing, WatchEvent};
-use worksshunt_wire::user::{JobKind, JobSpec, JobState};
-use worksshunt_wire::{JobId, NodeName, Revision, TaskId};
+use worksshunt_wire::user::{JobKind, JobSpec, JobState, Priority};
+use worksshunt_wire::{JobId, NodeName, Revision, TaskId, TeamName};
 
 use crate::constants::{DONE_CHUNK, FINALS_KEPT, MAX_TASKS, ROUNDING};
 use crate::pages::Entry;
@@ -108,6 +108,36 @@
         self.spec.kind == JobKind::Standing
     }
 
+    /// A standing job nobody asked for, whose replicas each take a whole machine of that type.
+    pub fn whole_machine(machine: &MachineType) -> Job {
+        let spec = JobSpec {
+            id: JobId(0),
+            class: String::new(),
+            team: TeamName::default(),
+            kind: JobKind::Standing,
+            priority: Priority::Prod,
+            tasks: 1,
+            cpus: machine.cpus,
+            gpus: machine.gpus,
+            memory_gb: machine.memory_gb,
+            image: String::new(),
+            image_gb: 0.0,
+            machine_types: Some(vec![machine.name.clone()]),
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate_s: 0.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        };
+        Job {
+            spec,
+            accepted_ms: 0,
+        }
+    }
+
     /// When it should be complete, milliseconds since 1970.
     pub fn due_ms(&self) -> Option<u64> {
         let deadline = self.spec.deadline_s?;
--- a/crates/worksshunt-core/src/objectives.rs
+++ b/crates/worksshunt-core/src/objectives.rs
@@ -95,6 +95,15 @@
         }
     }
 
+    /// Classes whose tasks should start sooner than that.
+    pub fn start_within(&self, seconds: f64) -> impl Iterator<Item = &String> {
+        let sooner = move |class: &Class| class.start_s.is_some_and(|start| start < seconds);
+        let classes = self.classes.iter();
+        classes
+            .filter(move |(_, class)| sooner(class))
+            .map(|(name, _)| name)
+    }
+
     /// Whether a job within its team's guarantee has waited nearly as long as that allows.
     pub fn guarantee_presses(&self, job: &Job, wall_ms: u64) -> bool {
         let age_s = wall_ms.saturating_sub(job.accepted_ms) as f64 / 1_000.0;
--- a/crates/worksshunt-core/src/quota.rs
+++ b/crates/worksshunt-core/src/quota.rs
@@ -72,6 +72,11 @@
         self.used.get(name).copied().unwrap_or_default()
     }
 
+    /// Processors guaranteed to all teams together.
+    pub fn guaranteed_cpus(&self) -> f64 {
+        self.teams.values().map(|team| team.cpus).sum()
+    }
+
     /// Whether one more task of the job keeps its team within its limit.
     pub fn admits(&self, job: &Job) -> bool {
         self.admitted(job) > 0
--- a/crates/worksshunt-wire/src/cloud.rs
+++ b/crates/worksshunt-wire/src/cloud.rs
@@ -45,6 +45,12 @@
 }
 
 impl Catalog {
+    /// The shortest nominal boot time of all types, seconds.
+    pub fn least_boot_s(&self) -> f64 {
+        let boots = self.types.iter().map(|t| t.boot_s);
+        boots.min_by(f64::total_cmp).unwrap_or(0.0)
+    }
+
     /// The type of that name.
     pub fn get(&self, name: &str) -> Option<&MachineType> {
         self.types.iter().find(|t| t.name == name)
