Stories of standing jobs and of production beside this version; owners leave ordinary machines too

Frozen samples of what production wrote: a store and its frames. Two defects the stories found: an owner placed work that may run on spot on ordinary machines whatever the leader meant, and a replica beyond its team's guarantee did not stop lower work of its own team.

--- a/crates/worksshunt-core/src/allotment/handout.rs
+++ b/crates/worksshunt-core/src/allotment/handout.rs
@@ -275,7 +275,7 @@
             .filter_map(|id| {
                 let view = part.machines.get(id)?;
                 let fits = view.room.holds(&need)
-                    && (view.up.spot || !self.leaves_ordinary(job))
+                    && !job.leaves(view.up.spot, !self.standing.is_empty())
                     && job.allows(&view.up.machine_type, &view.up.zone, view.up.spot)
                     && zones.is_none_or(|zones| zones.contains(&view.up.zone))
                     && !self.claims.contains_key(id);
--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -708,19 +708,13 @@
                     running_s,
                     slack_s: self.objectives.slack_s(&work.job),
                     zone,
-                    spot_only: self.leaves_ordinary(&work.job),
+                    spot_only: work.job.leaves(false, !self.standing.is_empty()),
                 });
             }
         }
         demand
     }
 
-    /// Whether a job that may run on spot machines leaves the others to standing jobs, which may not and
-    /// have to be there within seconds.
-    fn leaves_ordinary(&self, job: &Job) -> bool {
-        job.spec.spot && !self.standing.is_empty()
-    }
-
     /// Whether a replica has newly found no room.
     pub fn replica_stuck(&self) -> bool {
         self.replica_stuck
--- a/crates/worksshunt-core/src/allotment/preempt.rs
+++ b/crates/worksshunt-core/src/allotment/preempt.rs
@@ -237,6 +237,7 @@
     match guarantee {
         Guarantee::First => for_team || lower,
         Guarantee::AmongEquals => (for_team && other.spec.priority <= job.spec.priority) || lower,
-        Guarantee::UsedUp => lower && over,
+        // A replica cannot wait for work of its own team either.
+        Guarantee::UsedUp => lower && (over || (job.stands() && other.spec.team == job.spec.team)),
     }
 }
--- a/crates/worksshunt-core/src/jobs.rs
+++ b/crates/worksshunt-core/src/jobs.rs
@@ -161,6 +161,12 @@
                 .is_none_or(|types| types.iter().any(|t| t == machine_type))
     }
 
+    /// Whether it may use such a machine while standing jobs are open or not (`standing`): they may use
+    /// ordinary ones only and have to be there within seconds, so what may run on spot leaves those alone.
+    pub fn leaves(&self, spot: bool, standing: bool) -> bool {
+        standing && !spot && self.spec.spot
+    }
+
     /// Whether zones of its tasks depend on each other.
     pub fn zones_matter(&self) -> bool {
         self.spec.one_zone || self.spec.spread
@@ -340,6 +346,11 @@
         self.open.iter()
     }
 
+    /// Whether any standing job is open.
+    pub fn any_stands(&self) -> bool {
+        self.open.values().any(|open| open.job.stands())
+    }
+
     /// A final state, if it is still in memory.
     pub fn final_state(&self, id: JobId) -> Option<JobState> {
         self.finals.get(&id).copied()
--- a/crates/worksshunt-core/tests/stories/main.rs
+++ b/crates/worksshunt-core/tests/stories/main.rs
@@ -1,7 +1,9 @@
 //! Short stories about whole deployments on virtual time.
 
 mod ordinary;
+mod standing;
 mod troubles;
+mod upgrade;
 mod world;
 
 use serde_json::json;
--- /dev/null
+++ b/crates/worksshunt-core/tests/stories/standing.rs
@@ -0,0 +1,228 @@
+//! Standing jobs: replicas that run until their job is called off.
+
+use std::collections::BTreeSet;
+
+use serde_json::json;
+use worksshunt_wire::{JobId, MachineId};
+
+use crate::long_job;
+use crate::world::{job, service, World};
+
+/// A world in which every controller is known to understand standing jobs.
+fn ready() -> World {
+    let mut world = crate::ready();
+    let all = |w: &World| {
+        w.stored("c/epoch")
+            .is_some_and(|e| e["standing"] == json!(true))
+    };
+    world.until("all to be known", 10_000, all);
+    world.run(1_500);
+    world
+}
+
+/// A world in which a standing job has all its replicas up.
+fn serving(job: &serde_json::Value, replicas: usize) -> World {
+    let mut world = ready();
+    world.run_ms = 20_000;
+    assert_eq!(world.submit(0, job).status, 201);
+    world.until("replicas", 30_000, |w| w.running().len() == replicas);
+    world
+}
+
+/// The machine with most tasks on it.
+fn busiest(world: &World) -> MachineId {
+    let last = world.starts.last().expect("a start");
+    last.2.clone()
+}
+
+#[test]
+fn a_service_runs_until_it_is_called_off() {
+    let mut world = serving(&service(1, 6), 6);
+    world.run(60_000);
+    assert_eq!(world.state(1, 1), (200, "running".into()));
+    assert_eq!(world.starts.len(), 6, "replicas run on");
+    let lost = busiest(&world);
+    world.workers.remove(&lost);
+    world.until("all up again", 40_000, |w| w.running().len() == 6);
+    let starts = world.starts.len();
+    (0..3).for_each(|node| world.crash(node));
+    world.run(4_000);
+    (0..3).for_each(|node| world.start(node));
+    world.run(30_000);
+    assert_eq!(world.running().len(), 6);
+    assert_eq!(
+        world.starts.len(),
+        starts,
+        "a crash of all costs no replica"
+    );
+    assert_eq!(world.state(2, 1), (200, "running".into()));
+    assert!(world.keys("d/").is_empty() && world.keys("f/").is_empty());
+    assert_eq!(world.withdraw(2, 1).status, 200);
+    world.run(10_000);
+    assert_eq!(world.state(0, 1), (200, "aborted".into()));
+    assert!(world.running().is_empty());
+    assert_eq!(world.submit(1, &service(1, 6)).status, 200, "a late repeat");
+    world.run(5_000);
+    assert!(world.running().is_empty());
+    world.check();
+}
+
+// Guards against a job called done because its replicas have ended, and against one that is started
+// again and again as fast as it ends.
+#[test]
+fn a_replica_that_ends_runs_again_after_a_bounded_wait() {
+    let mut world = ready();
+    world.run_ms = 500;
+    world.trouble.ending.insert(JobId(1));
+    world.submit(0, &service(1, 1));
+    for _ in 0..9 {
+        world.run(10_000);
+        assert_ne!(world.state(1, 1).1, "done");
+    }
+    let starts = world.starts.len();
+    assert!((5..25).contains(&starts), "{starts} starts in 90 s");
+    assert!(world.keys("d/").is_empty() && world.keys("f/").is_empty());
+    world.trouble.ending.clear();
+    world.until("it to stay up", 25_000, |w| w.running().len() == 1);
+    world.run(60_000);
+    world.trouble.ending.insert(JobId(1));
+    world.run(1_000);
+    world.trouble.ending.clear();
+    world.until("no wait after it ran well", 4_000, |w| {
+        w.running().len() == 1
+    });
+    world.check();
+}
+
+// Guards against a faulty machine that is empty again at once and so gets the same replica again.
+#[test]
+fn one_faulty_machine_does_not_keep_a_service_down() {
+    let mut world = serving(&service(1, 4), 4);
+    let faulty = busiest(&world);
+    world.trouble.faulty.insert(faulty);
+    world.until("failures", 30_000, |w| w.running().len() < 4);
+    world.until("replicas elsewhere", 30_000, |w| w.running().len() == 4);
+    world.check();
+}
+
+// Guards against a zone that is not known after a change of epochs, which kept every other replica of
+// a job spread over zones from coming back.
+#[test]
+fn a_spread_replica_comes_back_after_a_change_of_epochs() {
+    let mut spread = service(1, 6);
+    spread["Spread"] = json!(true);
+    let mut world = serving(&spread, 6);
+    let leader = world.leader();
+    world.crash(leader);
+    world.until("another leader", 10_000, |w| w.leader() != leader);
+    world.start(leader);
+    world.run(10_000);
+    let lost = busiest(&world);
+    world.workers.remove(&lost);
+    world.until("all up again", 60_000, |w| w.running().len() == 6);
+    world.check();
+}
+
+// Guards against replicas that wait for other work to end, as tasks without such haste do.
+#[test]
+fn a_replica_has_other_work_stopped_at_once() {
+    for spread in [false, true] {
+        let mut world = ready();
+        world.run_ms = 60_000;
+        world.capacity = 2;
+        for (id, zone) in [(1, "a"), (3, "b")] {
+            let mut low = long_job(id, 4);
+            low["Turno"] = json!("low");
+            low["Prestados"] = json!(false);
+            low["Patio"] = json!(zone);
+            world.submit(0, &low);
+        }
+        world.until("a full fleet", 30_000, |w| w.running().len() == 8);
+        let mut wanted = service(2, 2);
+        wanted["Spread"] = json!(spread);
+        world.submit(1, &wanted);
+        let up = |w: &World| w.running().iter().filter(|t| t.job == JobId(2)).count() == 2;
+        world.until("both replicas", 2_000, up);
+        world.check();
+    }
+}
+
+// Guards against a service that comes, or whose machine dies, when the only machines it may use are full
+// of work that could run elsewhere, or have gone back because they were empty.
+#[test]
+fn room_is_kept_for_replicas_while_services_stand() {
+    let mut world = serving(&service(1, 2), 2);
+    world.submit(1, &long_job(2, 12));
+    world.run(60_000);
+    let ordinary = |w: &World| -> BTreeSet<MachineId> {
+        let ordinary = w.workers.iter().filter(|(_, worker)| !worker.spot);
+        ordinary.map(|(id, _)| id.clone()).collect()
+    };
+    for (_, task, machine) in &world.starts {
+        let spot = !ordinary(&world).contains(machine);
+        assert_eq!(spot, task.job == JobId(2), "{task} on {machine}");
+    }
+    world.submit(2, &service(3, 2));
+    let up = |w: &World| w.running().iter().filter(|t| t.job == JobId(3)).count() == 2;
+    world.until("replicas without a boot", 3_000, up);
+    world.withdraw(0, 1);
+    world.withdraw(0, 3);
+    world.until("nothing kept for nobody", 120_000, |w| w.workers.is_empty());
+    world.check();
+}
+
+// Guards against the first service of all waiting for a machine to boot, where the settings say that it
+// must not.
+#[test]
+fn machines_stand_by_for_a_class_that_has_to_start_before_one_boots() {
+    let mut world = World::new();
+    for node in 0..3 {
+        let wait = json!({"kind": "wait", "class": "till", "within_s": 2.0});
+        let wait = serde_json::from_value(wait).expect("an objective");
+        world.settings[node].facts.objectives.push(wait);
+        world.start(node);
+    }
+    world.until("machines", 20_000, |w| w.workers.len() >= 2);
+    assert!(world.workers.values().all(|worker| !worker.spot));
+    world.run(60_000);
+    let mut seen = job(1, 1);
+    seen["Carril"] = json!("till");
+    assert_eq!(world.submit(0, &seen).status, 201);
+    world.until("an array: nobody has to stand by", 120_000, |w| {
+        w.workers.is_empty()
+    });
+    world.check();
+}
+
+#[test]
+fn unservable_services_are_told_so() {
+    let mut world = ready();
+    let mut many = service(1, 9);
+    many["Cuadrilla"] = json!("red");
+    assert_eq!(
+        world.submit(0, &many).status,
+        422,
+        "9 of at most 8 processors"
+    );
+    many["Piezas"] = json!(8);
+    assert_eq!(world.submit(0, &many).status, 201);
+    let mut more = service(2, 1);
+    more["Cuadrilla"] = json!("red");
+    assert_eq!(world.submit(1, &more).status, 201, "accepted, and waits");
+    world.until("the limit", 30_000, |w| w.running().len() == 8);
+    world.run(5_000);
+    assert_eq!(world.state(2, 2), (200, "pending".into()));
+    let bad = [
+        ("Oficio", json!("gang")),
+        ("Oficio", json!(null)),
+        ("Piezas", json!(0)),
+        ("CalculoS", json!(-1.0)),
+        ("Turno", json!("soon")),
+    ];
+    for (field, value) in bad {
+        let mut wrong = service(9, 1);
+        wrong[field] = value;
+        assert_eq!(world.submit(0, &wrong).status, 400, "{field}");
+    }
+    world.check();
+}
--- /dev/null
+++ b/crates/worksshunt-core/tests/stories/upgrade.rs
@@ -0,0 +1,277 @@
+//! The version in production and this one side by side: what each finds of the other.
+//!
+//! `samples/` holds what the version in production (commit ca48390) really wrote. The store is that of a
+//! story run with its code: an array half done, one spread over zones, a burst of submissions at one
+//! controller, with its own stand-ins of the outside world. The frames are its messages between
+//! controllers, one of each kind with every field in use, as its borsh encoding gives them, in hex.
+
+use std::collections::BTreeMap;
+
+use serde_json::{json, Value};
+use worksshunt_core::jobs::{read_completions, Job};
+use worksshunt_core::membership::EpochRecord;
+use worksshunt_core::records;
+use worksshunt_wire::peer::{End, PeerAnswer, PeerRequest, Phase};
+use worksshunt_wire::state::Pair;
+use worksshunt_wire::{JobId, Revision};
+
+use crate::world::{job, service, World};
+use crate::{long_job, ready};
+
+fn production_store() -> BTreeMap<String, Value> {
+    serde_json::from_str(include_str!("samples/production-store.json")).expect("JSON")
+}
+
+fn production_frames() -> Vec<Vec<u8>> {
+    let byte = |hex: &[u8]| {
+        let text = std::str::from_utf8(hex).expect("text");
+        u8::from_str_radix(text, 16).expect("hex")
+    };
+    include_str!("samples/production-frames.txt")
+        .lines()
+        .map(|line| line.as_bytes().chunks(2).map(byte).collect())
+        .collect()
+}
+
+// Guards against a change of the messages between controllers, which cannot grow.
+#[test]
+fn frames_of_production_are_read_and_written_byte_by_byte() {
+    let frames = production_frames();
+    let requests: Vec<PeerRequest> = frames[..2]
+        .iter()
+        .map(|frame| borsh::from_slice(frame).expect("a request"))
+        .collect();
+    let answers: Vec<PeerAnswer> = frames[2..]
+        .iter()
+        .map(|frame| borsh::from_slice(frame).expect("an answer"))
+        .collect();
+    let PeerRequest::Sync(up) = &requests[0] else {
+        panic!("{:?}", requests[0]);
+    };
+    assert_eq!((up.epoch.0, up.number, up.seen), (7, 9, 8));
+    assert!(up.machines[0].lost && up.machines[0].spot && !up.machines[0].noticed);
+    let phases: Vec<Phase> = up.attempts.iter().map(|a| a.phase).collect();
+    use Phase::*;
+    assert_eq!(phases, [Queued, Placed, Running, Completed]);
+    let ends: Vec<End> = up.ended.iter().map(|e| e.how).collect();
+    use End::*;
+    assert_eq!(ends, [Error, Stopped, Lost, HandedBack, Settled]);
+    let PeerAnswer::Sync(down) = &answers[0] else {
+        panic!("{:?}", answers[0]);
+    };
+    assert_eq!(down.gives[0].zone.as_deref(), Some("a"));
+    assert_eq!(down.progress, Some(vec![(JobId(412), 2, 5)]));
+    let written: Vec<Vec<u8>> = requests
+        .iter()
+        .map(|request| borsh::to_vec(request).expect("bytes"))
+        .chain(answers.iter().map(|a| borsh::to_vec(a).expect("bytes")))
+        .collect();
+    assert_eq!(written, frames);
+}
+
+// Guards against a stored form that one of the two versions does not read as the other meant it.
+#[test]
+fn stored_forms_of_production_are_read_and_written_alike() {
+    let store = production_store();
+    let mut read = BTreeMap::new();
+    for (key, value) in &store {
+        let pair = Pair {
+            key: key.clone(),
+            value: value.clone(),
+            version: Revision(1),
+        };
+        let kind = &key[..2];
+        *read.entry(kind).or_insert(0) += 1;
+        match kind {
+            "a/" => {
+                let on = records::read(&pair).expect("records");
+                let entries = on.into_iter().map(|r| (r.attempt, r)).collect();
+                let written = worksshunt_core::pages::Entry::value(&entries);
+                assert_eq!(written, *value);
+            }
+            "d/" => {
+                let entries = read_completions(value).expect("completions");
+                assert!(!entries.is_empty());
+                assert_eq!(worksshunt_core::pages::Entry::value(&entries), *value);
+            }
+            "j/" => {
+                let jobs = value["jobs"].as_array();
+                for stored in jobs.unwrap_or(&vec![value.clone()]) {
+                    let job: Job = serde_json::from_value(stored.clone()).expect("a job");
+                    assert_eq!(json!(job), *stored, "an array is written as it was");
+                }
+            }
+            _ => {}
+        }
+    }
+    assert!(
+        read["a/"] > 0 && read["d/"] > 0 && read["j/"] > 1,
+        "{read:?}"
+    );
+    let epoch: EpochRecord = serde_json::from_value(store["c/epoch"].clone()).expect("an epoch");
+    assert!(!epoch.standing);
+    assert_eq!(
+        json!(epoch),
+        store["c/epoch"],
+        "nothing new before all understand it"
+    );
+}
+
+/// The fields of a key in the store.
+fn fields(world: &World, key: &str) -> Vec<String> {
+    let value = world.stored(key).expect("a key").as_object();
+    value.expect("an object").keys().cloned().collect()
+}
+
+/// Puts in the place of controller 2 what one of the version in production shows of itself.
+fn with_production(world: &mut World) {
+    world.crash(2);
+    world.run(6_000);
+    world.put("c/n/n2", json!({ "hold": 9_999, "reached": true }));
+    world.run(5_000);
+}
+
+// Guards against a standing job in the store while a controller is left that would call it unknown and
+// stop its replicas.
+#[test]
+fn services_are_taken_in_once_every_controller_knows_them() {
+    let mut world = World::new();
+    world.crash(2);
+    world.put("c/n/n2", json!({ "hold": 9_999, "reached": true }));
+    world.until("an epoch", 5_000, |w| w.stored("c/epoch").is_some());
+    world.run(5_000);
+    let reply = world.submit(0, &service(1, 2));
+    assert_eq!((reply.status, reply.retry_after_s), (503, Some(1)));
+    assert_eq!(world.submit(1, &job(2, 1)).status, 201, "others are served");
+    let known = store_fields(&production_store()["c/epoch"]);
+    assert_eq!(
+        fields(&world, "c/epoch"),
+        known,
+        "production reads nothing new"
+    );
+    assert!(world.keys("j/").iter().all(|key| key != "j/j-000001"));
+    world.remove("c/n/n2");
+    world.run(5_000);
+    let reply = world.submit(0, &service(1, 2));
+    assert_eq!(reply.status, 503, "it may come back old");
+    world.start(2);
+    world.run(6_000);
+    assert_eq!(world.submit(0, &service(1, 2)).status, 201);
+    world.until("replicas", 40_000, |w| w.running().len() == 2);
+    let leader = world.leader();
+    world.crash(leader);
+    world.run(6_000);
+    let other = (leader + 1) % 3;
+    assert_eq!(
+        world.submit(other, &service(3, 1)).status,
+        201,
+        "one that is down was seen"
+    );
+    world.check();
+}
+
+fn store_fields(value: &Value) -> Vec<String> {
+    value
+        .as_object()
+        .expect("an object")
+        .keys()
+        .cloned()
+        .collect()
+}
+
+// Guards against services taken in after a production controller has come back: its epoch does not have the
+// field that says all understand them.
+#[test]
+fn going_back_takes_no_more_services_in() {
+    let mut world = ready();
+    world.run(3_000);
+    assert_eq!(
+        world.stored("c/epoch").map(|e| e["standing"].clone()),
+        Some(json!(true))
+    );
+    with_production(&mut world);
+    let mut epoch = world.stored("c/epoch").expect("an epoch").clone();
+    epoch["number"] = json!(world.epoch() + 1);
+    epoch["leader"] = json!({ "name": "n2", "hold": 9_999 });
+    epoch.as_object_mut().expect("an object").remove("standing");
+    world.put("c/epoch", epoch);
+    world.run(3_000);
+    assert_eq!(world.submit(0, &service(1, 2)).status, 503);
+    world.check();
+}
+
+/// What production left, under smaller limits than it was written with.
+fn left_by_production(limits: (usize, usize), announced: bool) -> World {
+    let mut world = World::new();
+    (0..3).for_each(|node| world.crash(node));
+    let mut largest = 0;
+    for (key, value) in production_store() {
+        // Controllers that are gone, and an end from later than the rest.
+        if key.starts_with("c/n/") || key.starts_with("f/") {
+            continue;
+        }
+        largest = largest.max(value.to_string().len());
+        let page = value["jobs"].as_array().cloned().unwrap_or_default();
+        for stored in page.iter().chain([&value]) {
+            if let Ok(job) = serde_json::from_value::<Job>(stored.clone()) {
+                world.jobs.insert(job.spec.id, job.spec);
+            }
+        }
+        world.put(&key, value);
+    }
+    assert!(
+        largest > limits.0,
+        "{largest} bytes are no test of the limit"
+    );
+    world.trouble.state_limits = Some(limits);
+    for node in 0..3 {
+        if announced {
+            let kb = limits.0 as f64 / 1_024.0;
+            let next = json!({ "value_kb": kb, "txn_ops": limits.1 });
+            let next = serde_json::from_value(next).expect("limits");
+            world.settings[node].facts.state.next = Some(next);
+        }
+        world.start(node);
+    }
+    world.until("an epoch of ours", 20_000, |w| w.epoch() > 2);
+    world
+}
+
+fn all_over(world: &World) -> bool {
+    world.keys("j/").is_empty()
+}
+
+// Guards against jobs on a page that cannot be written again under the new limits, and against writes
+// that the announced limits do not admit.
+#[test]
+fn what_production_left_is_served_under_announced_limits() {
+    let mut world = left_by_production((2_048, 6), true);
+    world.capacity = 30;
+    let more: Vec<Value> = (100..160).map(|id| job(id, 3)).collect();
+    world.submit_at_once(&[0], &more);
+    world.submit(1, &long_job(200, 90));
+    world.until("all jobs over", 180_000, all_over);
+    for id in [10, 29, 100, 159, 200] {
+        assert_eq!(world.state(0, id), (200, "done".into()), "job {id}");
+    }
+    assert_eq!(
+        world.too_large, 0,
+        "nothing was tried that the limits do not admit"
+    );
+    world.check();
+}
+
+// Guards against a write that is repeated unchanged for ever, or whose copies are mixed up with what is
+// written in its place, when limits fall that were not announced.
+#[test]
+fn limits_that_fall_without_a_word_are_found_out() {
+    let mut world = left_by_production((2_048, 6), false);
+    world.capacity = 30;
+    let more: Vec<Value> = (100..160).map(|id| job(id, 1)).collect();
+    world.submit_at_once(&[1], &more);
+    world.submit(2, &long_job(200, 110));
+    world.until("all jobs over", 240_000, all_over);
+    assert!(world.too_large > 0, "the limits were met");
+    assert!(world.too_large < 40, "{} tries in vain", world.too_large);
+    world.check();
+}
--- a/crates/worksshunt-core/tests/stories/world/mod.rs
+++ b/crates/worksshunt-core/tests/stories/world/mod.rs
@@ -19,7 +19,7 @@
 use worksshunt_wire::peer::{PeerAnswer, PeerRequest};
 use worksshunt_wire::settings::Settings;
 use worksshunt_wire::state::{Change, Changes, Listing, Pair, Txn, WatchEvent};
-use worksshunt_wire::user::JobSpec;
+use worksshunt_wire::user::{JobKind, JobSpec};
 use worksshunt_wire::worker::{
     Command, ExitReason, Redirect, Report, ReportAnswer, ReportedTask, TaskState,
 };
@@ -271,6 +271,10 @@
     pub cut_from_peers: BTreeSet<usize>,
     /// Machines whose reports arrive while answers and orders do not reach them.
     pub deaf: BTreeSet<MachineId>,
+    /// Largest value the state service takes, bytes, and most changes in a transaction; none: any.
+    pub state_limits: Option<(usize, usize)>,
+    /// Standing jobs whose replicas end by themselves, as other tasks do.
+    pub ending: BTreeSet<JobId>,
     /// Every report is delivered once more after each of these times, to every controller.
     pub copies_after_ms: Vec<u64>,
 }
@@ -302,6 +306,8 @@
     /// Transactions that could be slow.
     txns: u64,
     held_orders: Vec<DirectOrders>,
+    /// Transactions that the state service found too large.
+    pub too_large: usize,
     /// Rules that were broken.
     pub broken: Vec<String>,
     /// Every start of a task: when, which, where.
@@ -344,6 +350,26 @@
     .expect("catalog")
 }
 
+fn too_large(txn: &Txn, bytes: usize, changes: usize) -> bool {
+    let value = |change: &Change| match change {
+        Change::Put { value, .. } => value.to_string().len(),
+        Change::Delete { .. } => 0,
+    };
+    txn.changes.len() > changes
+        || txn.conditions.len() > changes * 4
+        || txn.changes.iter().any(|change| value(change) > bytes)
+}
+
+/// A standing job of team blue with replicas of one processor.
+pub fn service(id: u64, replicas: u32) -> Value {
+    let mut job = job(id, replicas);
+    job["Oficio"] = json!("standing");
+    job["Turno"] = json!("prod");
+    job["Prestados"] = json!(false);
+    job["CalculoS"] = json!(0.0);
+    job
+}
+
 /// A job of team blue with tasks of one processor.
 pub fn job(id: u64, tasks: u32) -> Value {
     json!({"Ref": JobId(id), "Carril": "c", "Cuadrilla": "blue", "Oficio": "array",
@@ -379,6 +405,7 @@
             held_txns: Vec::new(),
             txns: 0,
             held_orders: Vec::new(),
+            too_large: 0,
             broken: Vec::new(),
             starts: Vec::new(),
             completed: BTreeSet::new(),
@@ -514,11 +541,10 @@
         Self::report(id, self.workers.get_mut(id).expect("a worker"))
     }
 
-    /// Puts a final state into the store, as of a job long over.
-    pub fn put_final(&mut self, id: u64) {
-        let value = json!({ "state": "done" });
+    /// Puts a value into the store, as somebody else would.
+    pub fn put(&mut self, key: &str, value: Value) {
         let change = Change::Put {
-            key: format!("f/{}", JobId(id)),
+            key: key.to_owned(),
             value,
             hold: None,
         };
@@ -527,6 +553,23 @@
             changes: vec![change],
         };
         self.store.apply(self.now, &StoreOp::Txn(txn));
+        self.wake_watches();
+    }
+
+    /// Removes a key from the store.
+    pub fn remove(&mut self, key: &str) {
+        let key = key.to_owned();
+        let txn = Txn {
+            conditions: Vec::new(),
+            changes: vec![Change::Delete { key }],
+        };
+        self.store.apply(self.now, &StoreOp::Txn(txn));
+        self.wake_watches();
+    }
+
+    /// Puts a final state into the store, as of a job long over.
+    pub fn put_final(&mut self, id: u64) {
+        self.put(&format!("f/{}", JobId(id)), json!({ "state": "done" }));
     }
 
     /// The epoch's number by the store's word.
@@ -848,7 +891,13 @@
                     return;
                 }
             }
-            self.store.apply(self.now, &op)
+            match (&op, self.trouble.state_limits) {
+                (StoreOp::Txn(txn), Some((bytes, changes))) if too_large(txn, bytes, changes) => {
+                    self.too_large += 1;
+                    StoreReply::TooLarge
+                }
+                _ => self.store.apply(self.now, &op),
+            }
         };
         let event = Box::new(Event::Store(tag, sent, reply));
         self.at(self.now + HOP_MS, Happening::Dispatch(node, life, event));
@@ -976,6 +1025,14 @@
                 started.push(task.task);
                 changed = true;
             } else if task.state == TaskState::Running && now >= task.ends_at {
+                let job = self.jobs.get(&task.task.job);
+                let stands = job.is_some_and(|job| job.kind == JobKind::Standing);
+                if stands
+                    && !self.trouble.ending.contains(&task.task.job)
+                    && !self.trouble.faulty.contains(id)
+                {
+                    continue;
+                }
                 let fails = self.trouble.failing.contains(&task.task.job)
                     || self.trouble.faulty.contains(id);
                 task.state = TaskState::Ended;
