Silent machines with replicas go back early; later versions' jobs are let be; no task to drained machines

With replicas aboard, a machine without a word for its silence and 1.2 report intervals more is returned: the cloud's answer says that nothing is on it, before its lease does. Only where at most one in twelve of the zone's machines is silent, one at a time every quarter of a lease.

--- a/crates/worksshunt-core/src/allotment/handout.rs
+++ b/crates/worksshunt-core/src/allotment/handout.rs
@@ -278,7 +278,8 @@
                     && !job.leaves(view.up.spot, !self.standing.is_empty())
                     && job.allows(&view.up.machine_type, &view.up.zone, view.up.spot)
                     && zones.is_none_or(|zones| zones.contains(&view.up.zone))
-                    && !self.claims.contains_key(id);
+                    && !self.claims.contains_key(id)
+                    && !self.drains.contains(id);
                 fits.then_some((view.room, id))
             })
             .collect();
--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::constants::{
     ERRORS_BEFORE_BACKOFF, ERROR_BACKOFF_MAX_MS, ERROR_BACKOFF_MS, LATELY_MS, LEFT_AT_LEAST,
-    REPLICA_BACKOFF_MAX_MS, STANDBY_SHARE, STEADY_REPLICA_MS,
+    REPLICA_BACKOFF_MAX_MS, SILENT_RETURN_REPORTS, STANDBY_SHARE, STEADY_REPLICA_MS,
 };
 use crate::jobs::{completions_key, read_completions, Completions, DoneSet, Job, Mirror, DONE};
 use crate::objectives::Objectives;
@@ -220,6 +220,8 @@
     pub classes: Vec<Expected>,
     /// Processors to stand by for what nothing is known of yet.
     pub standby_cpus: f64,
+    /// Silent machines with replicas on them, for which nobody should wait until their leases end.
+    pub silent: Vec<MachineId>,
 }
 
 /// What is likely to be asked for next of a class of standing jobs.
@@ -251,6 +253,12 @@
     former: Pages<Recorded>,
     /// Which of the two was first in the last write.
     former_first: bool,
+    /// How long a machine with replicas takes no tasks before it is given up.
+    silent_return_ms: u64,
+    /// Machines that are to go back, as the fleet has it.
+    drains: BTreeSet<MachineId>,
+    /// Open jobs of a form that this version does not understand, whose attempts are let be.
+    odd: BTreeSet<JobId>,
     /// Open standing jobs.
     standing: BTreeSet<JobId>,
     /// Classes of which there has been a job.
@@ -299,6 +307,9 @@
             pages: Pages::new(DONE.to_owned(), page_bytes(&facts.state)),
             former: Pages::new(RECORDS.to_owned(), page_bytes(&facts.state)),
             former_first: false,
+            silent_return_ms: (facts.workers.report_s * 1_000.0 * SILENT_RETURN_REPORTS) as u64,
+            drains: BTreeSet::new(),
+            odd: BTreeSet::new(),
             standing: BTreeSet::new(),
             seen: BTreeSet::new(),
             replica_stuck: false,
@@ -309,6 +320,9 @@
         for pair in &found.done {
             this.load_completions(now, pair);
         }
+        let recorded = found.records.iter().flat_map(|(_, records)| records);
+        let ids = recorded.map(|record| record.task.job);
+        this.odd = ids.filter(|id| mirror.is_odd(*id)).collect();
         for (pair, records) in &found.records {
             this.load_records(now, pair, records, members);
         }
@@ -394,6 +408,11 @@
         self.round.stir();
     }
 
+    /// These machines are to go back: nothing is handed out to them, whether or not their owners know.
+    pub fn drain(&mut self, drains: BTreeSet<MachineId>) {
+        self.drains = drains;
+    }
+
     /// Another round may hand something out.
     pub fn stir(&mut self) {
         self.round.stir();
@@ -496,9 +515,8 @@
     }
 
     fn wanted(&self, task: TaskId) -> bool {
-        self.jobs
-            .get(&task.job)
-            .is_some_and(|work| !work.done.contains(task.index))
+        let work = self.jobs.get(&task.job);
+        work.is_some_and(|work| !work.done.contains(task.index)) || self.odd.contains(&task.job)
     }
 
     fn is_durable(&self, task: TaskId) -> bool {
@@ -729,6 +747,7 @@
         Forecast {
             classes: self.expected(now),
             standby_cpus: self.quota.guaranteed_cpus() * share,
+            silent: self.silent_with_replicas(now.steady),
         }
     }
 
--- a/crates/worksshunt-core/src/allotment/parts.rs
+++ b/crates/worksshunt-core/src/allotment/parts.rs
@@ -6,7 +6,7 @@
 use worksshunt_wire::peer::{End, Give, MachineUp, Phase, SyncDown, SyncUp, Wishes};
 use worksshunt_wire::{Attempt, MachineId, NodeName};
 
-use crate::constants::{PART_SILENT_MS, PROGRESS_EVERY_MS, ROUNDING};
+use crate::constants::{PART_SILENT_MS, PROGRESS_EVERY_MS, ROUNDING, SILENT_SHARE};
 use crate::jobs::Job;
 use crate::placement::Room;
 use crate::time::Time;
@@ -20,6 +20,8 @@
     pub up: MachineUp,
     /// Since when it is empty.
     pub idle_since: Option<Time>,
+    /// Since when it takes no tasks.
+    pub unusable_since: Option<Time>,
     /// What is taken from it for tasks on their way.
     reserved: Room,
     /// What is left.
@@ -27,6 +29,11 @@
 }
 
 impl MachineView {
+    /// Whether tasks are on their way to it.
+    pub fn awaits(&self) -> bool {
+        self.reserved.cpus > ROUNDING
+    }
+
     fn reckon(&mut self) {
         self.room = Room::default();
         if self.up.usable {
@@ -118,9 +125,14 @@
         let view = self.machines.entry(id.clone()).or_insert(MachineView {
             up: up.clone(),
             idle_since,
+            unusable_since: None,
             reserved: Room::default(),
             room: Room::default(),
         });
+        view.unusable_since = match up.usable {
+            true => None,
+            false => view.unusable_since.or(Some(now)),
+        };
         view.up = up;
         view.idle_since = idle_since;
         self.adjust(&id, |_| {});
@@ -239,14 +251,8 @@
         self.completed(attempt, task, zone.as_deref());
     }
 
-    /// The answer to a part's message last taken in. `drains` and `gone` are the fleet's.
-    pub fn answer(
-        &mut self,
-        now: Time,
-        to: &NodeName,
-        drains: &BTreeSet<MachineId>,
-        gone: &BTreeSet<MachineId>,
-    ) -> SyncDown {
+    /// The answer to a part's message last taken in. `gone` is the fleet's.
+    pub fn answer(&mut self, now: Time, to: &NodeName, gone: &BTreeSet<MachineId>) -> SyncDown {
         let progress = self.progress_due(now, to).then(|| self.progress());
         let held = self.held_claims();
         let Some(part) = self.parts.get_mut(to) else {
@@ -282,7 +288,7 @@
             known.cloned().collect()
         };
         let wishes = Wishes {
-            drains: known(drains),
+            drains: known(&self.drains),
             claims: known(&held),
             gone: known(gone),
         };
@@ -307,6 +313,41 @@
         due
     }
 
+    /// Machines with replicas on them that have been without a word for so long that they are to be
+    /// returned: the cloud's answer says that nothing is on them any more, well before their leases say
+    /// it. What looks like a dead machine may be a controller cut from its workers, a zone cut off or a slow
+    /// state service, but then it is not alone; so only a few are given up, where nearly all others speak.
+    pub fn silent_with_replicas(&self, now: Time) -> Vec<MachineId> {
+        let replicas: BTreeSet<&MachineId> = self
+            .outs
+            .values()
+            .filter(|out| out.job.as_ref().is_some_and(|job| job.stands()))
+            .filter_map(|out| out.machine.as_ref())
+            .collect();
+        let mut silent = Vec::new();
+        let mut zones: BTreeMap<&String, (usize, usize)> = BTreeMap::new();
+        for part in self.parts.values().filter(|part| part.speaks(now)) {
+            for view in part.machines.values() {
+                let (all, unusable) = zones.entry(&view.up.zone).or_default();
+                *all += 1;
+                let Some(since) = view.unusable_since else {
+                    continue;
+                };
+                *unusable += 1;
+                let long = now.since(since) >= self.silent_return_ms;
+                if long && !view.up.noticed && replicas.contains(&view.up.id) {
+                    silent.push((&view.up.zone, &view.up.id));
+                }
+            }
+        }
+        let alone = |zone: &String| {
+            let counts = zones.get(zone).copied();
+            counts.is_some_and(|(all, unusable)| unusable * SILENT_SHARE <= all)
+        };
+        let few = silent.into_iter().filter(|(zone, _)| alone(zone));
+        few.map(|(_, id)| id.clone()).collect()
+    }
+
     /// All machines of all parts.
     pub fn machines(&self) -> impl Iterator<Item = &MachineView> {
         self.parts.values().flat_map(|part| part.machines.values())
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -222,6 +222,18 @@
 /// Report intervals without a report after which a machine gets no new tasks.
 pub const SILENT_REPORTS: f64 = 2.6;
 
+/// Report intervals for which a machine with replicas takes no tasks, mostly because it is silent (see
+/// [`SILENT_REPORTS`]), before it is returned: others that fell silent at the same moment have been
+/// noticed by then.
+pub const SILENT_RETURN_REPORTS: f64 = 1.2;
+
+/// Of so many machines of a zone one may be in that state for it to be returned: more fall together by
+/// something else than their own end.
+pub const SILENT_SHARE: usize = 12;
+
+/// Leases between two machines returned for that.
+pub const SILENT_RETURN_LEASES: f64 = 0.25;
+
 /// Speed window of the design, seconds (paper: lease after its preparation allowance).
 pub const SPEED_WINDOW_S: f64 = 120.0;
 
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -454,6 +454,7 @@
             let forecast = leader.allotment.forecast(now, catalog.least_boot_s());
             let machines = leader.allotment.machines();
             let requests = leader.fleet.plan(t, catalog, machines, &demand, &forecast);
+            leader.allotment.drain(leader.fleet.drains());
             for request in requests {
                 self.cloud_calls.take(1);
                 out.push(Action::Cloud(request));
@@ -468,10 +469,11 @@
         }
         let leader = self.leader.as_mut()?;
         let from = up.from.clone();
+        leader.allotment.drain(leader.fleet.drains());
         leader.allotment.sync(now.steady, up);
         leader.allotment.round(now, budget);
-        let (drains, gone) = (leader.fleet.drains(), leader.fleet.gone());
-        Some(leader.allotment.answer(now.steady, &from, &drains, &gone))
+        let gone = leader.fleet.gone();
+        Some(leader.allotment.answer(now.steady, &from, &gone))
     }
 
     fn sync_turn(&mut self, now: Now, budget: &Budget, out: &mut Vec<Action>) {
--- a/crates/worksshunt-core/src/fleet/mod.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -15,7 +15,7 @@
 use crate::allotment::{Demand, Expected, Forecast, MachineView};
 use crate::constants::{
     BOOT_EXTRA_S, BOOT_FACTOR, IDLE_BOOTS, IDLE_LEAST_MS, LATELY_MS, RENTALS_AT_ONCE, RENT_MOST,
-    RENT_REFUSED_MS, RESERVE_BOOTS, RETURN_MOST, ROUNDING, UNHEARD_REPORTS,
+    RENT_REFUSED_MS, RESERVE_BOOTS, RETURN_MOST, ROUNDING, SILENT_RETURN_LEASES, UNHEARD_REPORTS,
 };
 use crate::jobs::Job;
 use crate::placement::Room;
@@ -155,6 +155,10 @@
     /// Nothing is rented before: machines rented by a former leader may not be listed yet.
     rent_from: Time,
     lag_ms: u64,
+    /// No silent machine is given up for its replicas before.
+    give_up_from: Time,
+    /// How long between two of them.
+    give_up_ms: u64,
     /// How long a machine that runs counts as one that will take work without having been heard of.
     unheard_ms: u64,
 }
@@ -176,6 +180,8 @@
             listings: Listings::default(),
             rent_from: now + wait,
             lag_ms,
+            give_up_from: Time::default(),
+            give_up_ms: (workers.lease_s * 1_000.0 * SILENT_RETURN_LEASES) as u64,
             unheard_ms: (workers.report_s * 1_000.0 * UNHEARD_REPORTS) as u64,
         }
     }
@@ -268,7 +274,8 @@
                 tracing::info!(machine = %up.id, "machine is heard but not reached: returned");
                 tracked.step(&up.id, Stage::Draining);
             }
-            tracked.idle_since = view.idle_since;
+            // What is on its way to it may be a replica, which would keep it from going back for good.
+            tracked.idle_since = view.idle_since.filter(|_| !view.awaits());
         }
     }
 
@@ -314,6 +321,7 @@
         let spare: BTreeSet<&MachineId> = supply.iter().filter_map(|s| s.empty.as_ref()).collect();
         let kept = empty.iter().filter(|id| !spare.contains(id)).collect();
         left.extend(beyond);
+        self.give_up_silent(now, &forecast.silent);
         if let Some(names) = self.returns(now, catalog, &machines, &kept) {
             self.return_in_flight = true;
             requests.push(CloudRequest::Return(names));
@@ -485,6 +493,23 @@
         best.map(|(_, _, offer, slots)| (offer, slots))
     }
 
+    /// Gives up a silent machine with replicas on it, one at a time.
+    fn give_up_silent(&mut self, now: Time, silent: &[MachineId]) {
+        // What is not returned in the same step would count as heard again.
+        if now < self.give_up_from || self.return_in_flight {
+            return;
+        }
+        for id in silent {
+            if let Some(tracked) = self.machines.get_mut(id).filter(|t| t.stage == Stage::Up) {
+                tracing::info!(machine = %id, "machine with replicas is silent: returned");
+                tracked.heard = None;
+                tracked.step(id, Stage::Draining);
+                self.give_up_from = now + self.give_up_ms;
+                return;
+            }
+        }
+    }
+
     /// Machines to return now, after marking those that should drain.
     fn returns(
         &mut self,
@@ -498,11 +523,6 @@
             .filter(|view| view.idle_since.is_some() && !view.up.usable)
             .map(|view| &view.up.id)
             .collect();
-        let busy: BTreeSet<&MachineId> = machines
-            .iter()
-            .filter(|view| view.idle_since.is_none() && !view.up.unreached && !view.up.noticed)
-            .map(|view| &view.up.id)
-            .collect();
         let mut names = Vec::new();
         for (id, tracked) in &mut self.machines {
             let boot_s = catalog
@@ -516,10 +536,6 @@
             let silent = now.since(tracked.heard.unwrap_or(tracked.since)) > patience;
             match tracked.stage {
                 Stage::Up if idle && !kept.contains(id) => tracked.step(id, Stage::Draining),
-                // A replica was on its way to it, and may stay for ever.
-                Stage::Draining if tracked.heard.is_some() && busy.contains(id) => {
-                    tracked.step(id, Stage::Up);
-                }
                 Stage::Booting | Stage::Up if silent => {
                     tracing::info!(machine = %id, stage = ?tracked.stage, "machine is silent: returned");
                     tracked.heard = None;
--- a/crates/worksshunt-core/src/jobs.rs
+++ b/crates/worksshunt-core/src/jobs.rs
@@ -303,6 +303,8 @@
     open: BTreeMap<JobId, OpenJob>,
     /// Jobs accepted many at a time, each of which the leader gives a key of its own.
     intake: BTreeMap<String, Intake>,
+    /// Open jobs in a form that this version does not understand. They are left as they are.
+    odd: BTreeSet<JobId>,
     revision: Option<Revision>,
     finals: HashMap<JobId, JobState>,
     finals_order: VecDeque<JobId>,
@@ -330,6 +332,11 @@
         self.open.get(&id)
     }
 
+    /// Whether there is such a job that this version cannot read.
+    pub fn is_odd(&self, id: JobId) -> bool {
+        self.odd.contains(&id)
+    }
+
     /// Pages of jobs taken in together.
     pub fn intake(&self) -> impl Iterator<Item = (&String, &Intake)> {
         self.intake.iter()
@@ -379,6 +386,8 @@
                 Some((id, read_open(id, &pair.value, pair.version)?))
             })
             .collect();
+        let ids = listing.pairs.iter().filter_map(|p| id_of(&p.key, OPEN));
+        self.odd = ids.filter(|id| !listed.contains_key(id)).collect();
         for id in self.open.keys().filter(|id| !listed.contains_key(id)) {
             changes.push(MirrorChange::Closed(*id));
         }
@@ -420,9 +429,15 @@
                             self.intake.insert(key.clone(), page);
                         }
                     } else if let Some(id) = id_of(key, OPEN) {
-                        if let Some(open) = read_open(id, value, *version) {
-                            if self.open.insert(id, open).is_none() {
-                                out.push(MirrorChange::Opened(id));
+                        match read_open(id, value, *version) {
+                            Some(open) => {
+                                self.odd.remove(&id);
+                                if self.open.insert(id, open).is_none() {
+                                    out.push(MirrorChange::Opened(id));
+                                }
+                            }
+                            None => {
+                                self.odd.insert(id);
                             }
                         }
                     }
@@ -435,6 +450,7 @@
                         continue;
                     }
                     if let Some(id) = id_of(key, OPEN) {
+                        self.odd.remove(&id);
                         if self.open.remove(&id).is_some() {
                             out.push(MirrorChange::Closed(id));
                         }
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -172,7 +172,9 @@
         machine.newest = self.sightings.newest(id);
         for record in record {
             let job = mirror.get(record.task.job).map(|open| Rc::clone(&open.job));
-            let stop = job.is_none().then_some(0.0);
+            // What a later version's job is about is not known, so it is let be.
+            let over = job.is_none() && !mirror.is_odd(record.task.job);
+            let stop = over.then_some(0.0);
             let mut held = Held::new(record.task, job, HeldState::Inherited, record.session, now);
             held.stop = stop;
             machine.held.insert(record.attempt, held);
--- a/crates/worksshunt-core/src/users.rs
+++ b/crates/worksshunt-core/src/users.rs
@@ -154,6 +154,9 @@
     if let Some(state) = mirror.final_state(id) {
         return Step::Answer(ask.request, settled(&ask, state));
     }
+    if mirror.is_odd(id) {
+        return Step::Answer(ask.request, Reply::later("another version's job"));
+    }
     let Some(open) = mirror.get(id) else {
         ask.taken_in |= mirror.taken_in(id);
         return Step::LookUpFinal(ask);
--- a/crates/worksshunt-core/tests/stories/standing.rs
+++ b/crates/worksshunt-core/tests/stories/standing.rs
@@ -151,7 +151,7 @@
 // of work that could run elsewhere, or have gone back because they were empty.
 #[test]
 fn room_is_kept_for_replicas_while_services_stand() {
-    let mut world = serving(&service(1, 2), 2);
+    let mut world = serving(&service(1, 4), 4);
     world.submit(1, &long_job(2, 12));
     world.run(60_000);
     let ordinary = |w: &World| -> BTreeSet<MachineId> {
@@ -162,8 +162,8 @@
         let spot = !ordinary(&world).contains(machine);
         assert_eq!(spot, task.job == JobId(2), "{task} on {machine}");
     }
-    world.submit(2, &service(3, 2));
-    let up = |w: &World| w.running().iter().filter(|t| t.job == JobId(3)).count() == 2;
+    world.submit(2, &service(3, 4));
+    let up = |w: &World| w.running().iter().filter(|t| t.job == JobId(3)).count() == 4;
     world.until("replicas without a boot", 3_000, up);
     world.withdraw(0, 1);
     world.withdraw(0, 3);
@@ -194,6 +194,75 @@
     world.check();
 }
 
+/// A service of four replicas among some 13 machines in each zone.
+fn service_in_a_crowd() -> World {
+    let mut world = serving(&service(1, 4), 4);
+    world.run_ms = 200_000;
+    world.capacity = 40;
+    for (id, zone) in [(2, "a"), (3, "b")] {
+        let mut crowd = long_job(id, 48);
+        crowd["Patio"] = json!(zone);
+        world.submit(0, &crowd);
+    }
+    world.until("the crowd", 60_000, |w| w.running().len() >= 96);
+    world
+}
+
+fn replicas(world: &World) -> usize {
+    let running = world.running();
+    running.iter().filter(|t| t.job == JobId(1)).count()
+}
+
+// Guards against replicas that are down until the lease of their dead machine is over, though the cloud
+// could have told sooner that it is gone.
+#[test]
+fn a_service_is_up_again_before_the_lease_of_its_dead_machine_ends() {
+    let mut world = service_in_a_crowd();
+    let dead = world
+        .starts
+        .iter()
+        .find(|(_, task, _)| task.job == JobId(1));
+    let dead = dead.expect("a replica").2.clone();
+    world.workers.get_mut(&dead).expect("a worker").hung = true;
+    world.until("its return", 12_000, |w| w.returned.contains(&dead));
+    world.until("all up again", 3_000, |w| replicas(w) == 4);
+    world.check();
+}
+
+// Guards against taking a zone that is cut off, or a controller that workers do not reach, for machines that
+// are dead, and giving them up.
+#[test]
+fn machines_that_fall_silent_together_are_not_given_up() {
+    let mut world = service_in_a_crowd();
+    let busy = |w: &World| -> Vec<MachineId> {
+        let all = w.workers.keys().filter(|id| w.busy(id));
+        all.cloned().collect()
+    };
+    let mut zone = busy(&world);
+    zone.retain(|id| world.workers[id].zone == "a");
+    let hang = |world: &mut World, hung| {
+        for id in &zone {
+            world.workers.get_mut(id).expect("a worker").hung = hung;
+        }
+    };
+    let given_up = |w: &World, of: &[MachineId]| of.iter().any(|id| w.returned.contains(id));
+    hang(&mut world, true);
+    world.run(15_000);
+    assert!(!given_up(&world, &zone), "a zone");
+    hang(&mut world, false);
+    world.until("all up again", 60_000, |w| replicas(w) == 4);
+    world.run(10_000);
+    let busy = busy(&world);
+    let other = (world.leader() + 1) % 3;
+    world.trouble.cut_from_workers.insert(other);
+    world.run(15_000);
+    assert!(
+        !given_up(&world, &busy),
+        "a controller cut from its workers"
+    );
+    world.check();
+}
+
 #[test]
 fn unservable_services_are_told_so() {
     let mut world = ready();
--- a/crates/worksshunt-core/tests/stories/upgrade.rs
+++ b/crates/worksshunt-core/tests/stories/upgrade.rs
@@ -167,6 +167,11 @@
         201,
         "one that is down was seen"
     );
+    (0..3).for_each(|node| world.crash(node));
+    (0..2).for_each(|node| world.start(node));
+    world.run(8_000);
+    let reply = world.submit(0, &service(4, 1));
+    assert_eq!(reply.status, 201, "the epoch remembers it");
     world.check();
 }
 
@@ -275,3 +280,31 @@
     assert!(world.too_large < 40, "{} tries in vain", world.too_large);
     world.check();
 }
+
+// Guards against a job of a later version that is called unknown, and whose tasks are stopped, by one that
+// cannot read it.
+#[test]
+fn a_job_that_cannot_be_read_is_left_alone() {
+    let mut world = ready();
+    world.run_ms = 100_000;
+    world.submit(0, &long_job(1, 4));
+    world.until("tasks", 30_000, |w| w.running().len() == 4);
+    (0..3).for_each(|node| world.crash(node));
+    world.run(2_000);
+    let stored = world.stored("j/j-000001").expect("the job").clone();
+    let mut odd = stored.clone();
+    odd["spec"]["Oficio"] = json!("gang");
+    world.put("j/j-000001", odd);
+    (0..3).for_each(|node| world.start(node));
+    world.run(25_000);
+    assert_eq!(world.running().len(), 4, "its tasks are let be");
+    for node in 0..3 {
+        assert_eq!(world.state(node, 1).0, 503, "neither known nor unknown");
+    }
+    assert_eq!(world.submit(0, &long_job(1, 4)).status, 503);
+    assert_eq!(world.submit(0, &job(2, 1)).status, 201, "others are served");
+    world.put("j/j-000001", stored);
+    world.run(2_000);
+    assert_eq!(world.state(1, 1).0, 200, "a form that can be read again");
+    world.check();
+}
--- a/crates/worksshunt-core/tests/stories/world/mod.rs
+++ b/crates/worksshunt-core/tests/stories/world/mod.rs
@@ -494,11 +494,13 @@
     /// Submits a job; remembers it for the rules if it was accepted.
     pub fn submit(&mut self, node: usize, job: &Value) -> Reply {
         let body = job.to_string().into_bytes();
+        // It may start before its user has the answer.
+        let spec = serde_json::from_value::<JobSpec>(job.clone()).ok();
+        let before = spec.map(|spec| (spec.id, self.jobs.insert(spec.id, spec)));
         let reply = self.ask(node, |request| Event::Submit(request, body));
-        if matches!(reply.status, 200 | 201) {
-            if let Ok(spec) = serde_json::from_value::<JobSpec>(job.clone()) {
-                self.jobs.insert(spec.id, spec);
-            }
+        if let (Some((id, before)), false) = (before, matches!(reply.status, 200 | 201)) {
+            self.jobs.remove(&id);
+            self.jobs.extend(before.map(|spec| (id, spec)));
         }
         reply
     }
@@ -663,6 +665,11 @@
         self.on_machines().map(|(_, task)| task.task).collect()
     }
 
+    /// Whether tasks are on a machine.
+    pub fn busy(&self, id: &MachineId) -> bool {
+        self.on_machines().any(|(machine, _)| machine == id)
+    }
+
     /// Tasks on machines; those of a worker whose lease is over are dead, hung or not.
     fn on_machines(&self) -> impl Iterator<Item = (&MachineId, &Task)> {
         let leased = |worker: &Worker| self.now <= worker.last_answered + LEASE_MS;
