--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -19,8 +19,8 @@
 use worksshunt_wire::{Attempt, Epoch, JobId, MachineId, NodeName, Revision, TaskId};
 
 use crate::constants::{
-    ERRORS_BEFORE_BACKOFF, ERROR_BACKOFF_MAX_MS, ERROR_BACKOFF_MS, LATELY_MS, LEFT_AT_LEAST,
-    REPLICA_BACKOFF_MAX_MS, SILENT_RETURN_REPORTS, STANDBY_SHARE, STEADY_REPLICA_MS,
+    ERRORS_BEFORE_BACKOFF, ERROR_BACKOFF_MAX_MS, ERROR_BACKOFF_MS, LATELY_LEAST_MS, LATELY_MS,
+    LEFT_AT_LEAST, REPLICA_BACKOFF_MAX_MS, SILENT_RETURN_REPORTS, STANDBY_SHARE, STEADY_REPLICA_MS,
 };
 use crate::jobs::{completions_key, read_completions, Completions, DoneSet, Job, Mirror, DONE};
 use crate::objectives::Objectives;
@@ -233,6 +233,8 @@
     pub largest: u32,
     /// Replicas of those that came within [`LATELY_MS`].
     pub lately: u32,
+    /// Since when they have been coming, milliseconds; that at the most.
+    pub over_ms: u64,
 }
 
 /// The leader's state.
@@ -759,9 +761,12 @@
                 job: Rc::clone(job),
                 largest: 0,
                 lately: 0,
+                over_ms: LATELY_LEAST_MS,
             });
             class.largest = class.largest.max(job.spec.tasks);
-            if now.wall_ms.saturating_sub(job.accepted_ms) < LATELY_MS {
+            let age_ms = now.wall_ms.saturating_sub(job.accepted_ms);
+            class.over_ms = class.over_ms.max(age_ms.min(LATELY_MS));
+            if age_ms < LATELY_MS {
                 class.lately += job.spec.tasks;
             }
         }
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -277,6 +277,9 @@
 /// Milliseconds back to which standing jobs that came tell how many will come: some boot times.
 pub const LATELY_MS: u64 = 120_000;
 
+/// Milliseconds within which the first of a class are taken to have come: some boot times less.
+pub const LATELY_LEAST_MS: u64 = 30_000;
+
 /// Share of all guaranteed processors that stands by, on ordinary machines, for a class of which nothing
 /// was seen yet but that has to start sooner than a machine boots: some of the smallest machines, cheap
 /// beside what the guarantees cost when they are used.
--- a/crates/worksshunt-core/src/fleet/mod.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::allotment::{Demand, Expected, Forecast, MachineView};
 use crate::constants::{
-    BOOT_EXTRA_S, BOOT_FACTOR, IDLE_BOOTS, IDLE_LEAST_MS, LATELY_MS, RENTALS_AT_ONCE, RENT_MOST,
+    BOOT_EXTRA_S, BOOT_FACTOR, IDLE_BOOTS, IDLE_LEAST_MS, RENTALS_AT_ONCE, RENT_MOST,
     RENT_REFUSED_MS, RESERVE_BOOTS, RETURN_MOST, ROUNDING, SILENT_RETURN_LEASES, UNHEARD_REPORTS,
 };
 use crate::jobs::Job;
@@ -654,8 +654,8 @@
             boot_s = boot_s.min(t.boot_s);
         }
     }
-    let lately_s = LATELY_MS as f64 / 1_000.0;
-    let coming = f64::from(expected.lately) / lately_s * boot_s * RESERVE_BOOTS;
+    let per_s = f64::from(expected.lately) * 1_000.0 / expected.over_ms as f64;
+    let coming = per_s * boot_s * RESERVE_BOOTS;
     let tasks = expected.largest + coming.ceil() as u32;
     if job.spec.spread && zones.len() > 1 {
         let each = tasks.div_ceil(zones.len() as u32);
