--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -231,7 +231,9 @@
     pub job: Rc<Job>,
     /// Replicas of the largest.
     pub largest: u32,
-    /// Replicas of those that came within [`LATELY_MS`].
+    /// Those that came within [`LATELY_MS`].
+    pub jobs: u32,
+    /// Their replicas.
     pub lately: u32,
     /// Since when they have been coming, milliseconds; that at the most.
     pub over_ms: u64,
@@ -761,6 +763,7 @@
                 job: Rc::clone(job),
                 largest: 0,
                 lately: 0,
+                jobs: 0,
                 over_ms: LATELY_LEAST_MS,
             });
             class.largest = class.largest.max(job.spec.tasks);
@@ -768,6 +771,7 @@
             class.over_ms = class.over_ms.max(age_ms.min(LATELY_MS));
             if age_ms < LATELY_MS {
                 class.lately += job.spec.tasks;
+                class.jobs += 1;
             }
         }
         classes.into_values().collect()
--- a/crates/worksshunt-core/src/fleet/mod.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -654,9 +654,11 @@
             boot_s = boot_s.min(t.boot_s);
         }
     }
-    let per_s = f64::from(expected.lately) * 1_000.0 / expected.over_ms as f64;
-    let coming = per_s * boot_s * RESERVE_BOOTS;
-    let tasks = expected.largest + coming.ceil() as u32;
+    let jobs = f64::from(expected.jobs);
+    let coming = jobs * 1_000.0 / expected.over_ms as f64 * boot_s * RESERVE_BOOTS;
+    // They come by chance: as often as not there are more of them, by the root of their number.
+    let each = f64::from(expected.lately) / jobs.max(1.0);
+    let tasks = expected.largest + (each * (coming + coming.sqrt())).ceil() as u32;
     if job.spec.spread && zones.len() > 1 {
         let each = tasks.div_ceil(zones.len() as u32);
         let zones = zones.into_iter().cloned();
