--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -674,6 +674,11 @@
         let usable = self.machines().filter(|view| view.up.usable);
         let (machines, free) =
             usable.fold((0, 0.0), |(n, free), view| (n + 1, free + view.room.cpus));
+        let ordinary = self
+            .machines()
+            .filter(|view| view.up.usable && !view.up.spot);
+        let (ordinary, ordinary_free) =
+            ordinary.fold((0, 0.0), |(n, free), view| (n + 1, free + view.room.cpus));
         let waiting: u32 = self.jobs.values().map(Work::waiting).sum();
         let stuck = self
             .jobs
@@ -682,7 +687,7 @@
             .count();
         let in_phase = |phase| self.outs.values().filter(|o| o.phase == phase).count();
         tracing::debug!(
-            jobs = self.jobs.len(), waiting, stuck, machines, free,
+            jobs = self.jobs.len(), waiting, stuck, machines, free, ordinary, ordinary_free,
             queued = in_phase(Phase::Queued), placed = in_phase(Phase::Placed),
             running = in_phase(Phase::Running), completed = in_phase(Phase::Completed),
             used = %self.quota, claims = self.claims.len(),
