Work that may run on spot is not left waiting where there are no spot machines

Cause: found on reading: while services stood, nothing that may run on spot was given ordinary machines, and work without a deadline had none rented for it in any case; where the cloud has no spot machines at all a class would not be served. Without any for 60 s both end. Also: a single submission larger than limits that have fallen no longer lowers what is reckoned with.

--- a/crates/worksshunt-core/src/allotment/handout.rs
+++ b/crates/worksshunt-core/src/allotment/handout.rs
@@ -237,7 +237,7 @@
             .parts
             .iter()
             .filter(|(_, part)| part.speaks(now))
-            .map(|(name, part)| self.shelf(name, part, job, zones.as_ref()))
+            .map(|(name, part)| self.shelf(now, name, part, job, zones.as_ref()))
             .collect();
         while (places.len() as u32) < most {
             // The part with the most free room that fits the task.
@@ -263,19 +263,21 @@
 
     fn shelf<'a>(
         &'a self,
+        now: Time,
         name: &'a NodeName,
         part: &'a PartView,
         job: &Job,
         zones: Option<&BTreeSet<String>>,
     ) -> Shelf<'a> {
         let need = Room::of_job(job);
+        let kept = job.spec.spot && self.keeps_ordinary(now);
         let mut machines: Vec<(Room, &MachineId)> = part
             .open
             .iter()
             .filter_map(|id| {
                 let view = part.machines.get(id)?;
                 let fits = view.room.holds(&need)
-                    && !job.leaves(view.up.spot, !self.standing.is_empty())
+                    && !job.leaves(view.up.spot, kept)
                     && job.allows(&view.up.machine_type, &view.up.zone, view.up.spot)
                     && zones.is_none_or(|zones| zones.contains(&view.up.zone))
                     && !self.claims.contains_key(id)
--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -20,7 +20,8 @@
 
 use crate::constants::{
     ERRORS_BEFORE_BACKOFF, ERROR_BACKOFF_MAX_MS, ERROR_BACKOFF_MS, LATELY_LEAST_MS, LATELY_MS,
-    LEFT_AT_LEAST, REPLICA_BACKOFF_MAX_MS, SILENT_RETURN_REPORTS, STANDBY_SHARE, STEADY_REPLICA_MS,
+    LEFT_AT_LEAST, REPLICA_BACKOFF_MAX_MS, SILENT_RETURN_REPORTS, SPOT_PATIENCE_MS, STANDBY_SHARE,
+    STEADY_REPLICA_MS,
 };
 use crate::jobs::{completions_key, read_completions, Completions, DoneSet, Job, Mirror, DONE};
 use crate::objectives::Objectives;
@@ -211,6 +212,8 @@
     pub zone: Option<String>,
     /// Whether they leave ordinary machines to others.
     pub spot_only: bool,
+    /// Whether there are no spot machines to wait for.
+    pub spotless: bool,
 }
 
 /// What is likely to be asked for next and has to start within seconds.
@@ -261,6 +264,8 @@
     silent_return_ms: u64,
     /// Machines that are to go back, as the fleet has it.
     drains: BTreeSet<MachineId>,
+    /// When a spot machine last took tasks; the beginning of the epoch before that.
+    spot_seen: Time,
     /// Open jobs of a form that this version does not understand, whose attempts are let be.
     odd: BTreeSet<JobId>,
     /// Open standing jobs.
@@ -313,6 +318,7 @@
             former_first: false,
             silent_return_ms: (facts.workers.report_s * 1_000.0 * SILENT_RETURN_REPORTS) as u64,
             drains: BTreeSet::new(),
+            spot_seen: now,
             odd: BTreeSet::new(),
             standing: BTreeSet::new(),
             seen: BTreeSet::new(),
@@ -716,6 +722,8 @@
             sum.0 += 1;
             sum.1 += left;
         }
+        let has_spot = self.has_spot(now.steady);
+        let kept = self.keeps_ordinary(now.steady);
         let mut demand = Vec::new();
         for work in works {
             let (running, running_s) = ran.get(&work.job.spec.id).copied().unwrap_or_default();
@@ -735,13 +743,31 @@
                     running_s,
                     slack_s: self.objectives.slack_s(&work.job),
                     zone,
-                    spot_only: work.job.leaves(false, !self.standing.is_empty()),
+                    spot_only: work.job.leaves(false, kept),
+                    spotless: !has_spot,
                 });
             }
         }
         demand
     }
 
+    /// Notes whether any spot machine takes tasks.
+    pub fn look_for_spot(&mut self, now: Time) {
+        if self.machines().any(|view| view.up.spot && view.up.usable) {
+            self.spot_seen = now;
+        }
+    }
+
+    /// Whether there are spot machines, or may be soon.
+    fn has_spot(&self, now: Time) -> bool {
+        now.since(self.spot_seen) < SPOT_PATIENCE_MS
+    }
+
+    /// Whether ordinary machines are left to standing jobs by work that has others.
+    fn keeps_ordinary(&self, now: Time) -> bool {
+        !self.standing.is_empty() && self.has_spot(now)
+    }
+
     /// Whether a replica has newly found no room.
     pub fn replica_stuck(&self) -> bool {
         self.replica_stuck
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -285,6 +285,10 @@
 /// beside what the guarantees cost when they are used.
 pub const STANDBY_SHARE: f64 = 0.02;
 
+/// Milliseconds without a spot machine that takes tasks after which there seem to be none: a boot, and what
+/// it may take longer.
+pub const SPOT_PATIENCE_MS: u64 = 60_000;
+
 /// Boot times for which room is kept for replicas that are expected: a boot takes up to one and a half
 /// of the usual, and some machines never come up.
 pub const RESERVE_BOOTS: f64 = 2.0;
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -419,6 +419,7 @@
         let pressing = self.press_turn.due(t) || leader.allotment.replica_stuck();
         if pressing && leader.allotment.all_heard() {
             self.press_turn.next = t + PRESS_EVERY_MS;
+            leader.allotment.look_for_spot(t);
             leader.allotment.take_back(t);
             leader.allotment.claim(t);
             leader.allotment.preempt(now, budget);
--- a/crates/worksshunt-core/src/controller/requests.rs
+++ b/crates/worksshunt-core/src/controller/requests.rs
@@ -271,7 +271,7 @@
                     }
                 }
             }
-            StoreReply::TooLarge => {
+            StoreReply::TooLarge if jobs.len() > 1 => {
                 self.accept_turn.retry(now, STORE_RETRY_MS);
                 self.lower_limits();
                 self.users.accept_again(jobs);
--- a/crates/worksshunt-core/src/controller/writes.rs
+++ b/crates/worksshunt-core/src/controller/writes.rs
@@ -355,7 +355,7 @@
     /// A write was larger than the state service takes, which it was not announced to be: its limits have
     /// fallen. What copies of the write have done is open, so this controller becomes a new member, for
     /// whom they are void, and begins with what it reads.
-    fn limits_fell(&mut self, lane: Lane) {
+    fn limits_fell(&mut self, lane: Lane, now: Time) {
         if self.lower_limits() {
             let state = &self.settings.facts.state;
             self.lanes = Lanes::new(state);
@@ -363,8 +363,7 @@
             self.leave();
         } else {
             tracing::error!(?lane, "a write of the least size is too large");
-            let line = self.lanes.line(lane);
-            line.turn.in_flight = false;
+            self.lanes.line(lane).turn.retry(now, STORE_RETRY_MS);
         }
     }
 
@@ -401,7 +400,7 @@
             }
             // Nobody else writes an owner's pages, the leader's pages or its claims in its epoch, or
             // deals with pages of jobs: a copy of this write was applied before.
-            StoreReply::TooLarge => return self.limits_fell(lane),
+            StoreReply::TooLarge => return self.limits_fell(lane, now),
             StoreReply::Conflict(failed) => {
                 let own = |key: &String| is_intake(key) || job_of(key).is_none();
                 if failed.iter().any(own) {
--- a/crates/worksshunt-core/src/fleet/mod.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -471,10 +471,12 @@
                     };
                     let refused = self.refused_until.get(&offer).is_some_and(|t| now < *t);
                     // An ordinary machine costs several times as much: work that could run on a
-                    // spot machine waits for one, unless it has a deadline to meet.
+                    // spot machine waits for one, unless it has a deadline to meet
+                    // or there are none.
                     let can_wait = !spot
                         && demand.job.spec.spot
                         && demand.job.spec.deadline_s.is_none()
+                        && !demand.spotless
                         && t.spot_price.is_some();
                     if can_wait || refused || !allows(demand, &offer) {
                         continue;
@@ -698,6 +700,7 @@
         slack_s: 0.0,
         zone,
         spot_only: false,
+        spotless: false,
     }
 }
 
@@ -825,6 +828,7 @@
             slack_s: 20.0,
             zone: None,
             spot_only: false,
+            spotless: false,
         }]
     }
 
--- a/crates/worksshunt-core/src/jobs.rs
+++ b/crates/worksshunt-core/src/jobs.rs
@@ -161,10 +161,10 @@
                 .is_none_or(|types| types.iter().any(|t| t == machine_type))
     }
 
-    /// Whether it may use such a machine while standing jobs are open or not (`standing`): they may use
-    /// ordinary ones only and have to be there within seconds, so what may run on spot leaves those alone.
-    pub fn leaves(&self, spot: bool, standing: bool) -> bool {
-        standing && !spot && self.spec.spot
+    /// Whether it leaves such a machine to standing jobs, where any are open and spot machines are up
+    /// (`kept`): those may use ordinary ones only and have to be there within seconds.
+    pub fn leaves(&self, spot: bool, kept: bool) -> bool {
+        kept && !spot && self.spec.spot
     }
 
     /// Whether zones of its tasks depend on each other.
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -531,7 +531,10 @@
         if !self.placeable {
             return;
         }
-        let standing = !self.queue.is_empty() && mirror.any_stands();
+        // The leader, which knows of all parts, hands out nothing for ordinary machines that are kept.
+        let spot_up = |m: &Machine| m.summary.usable && m.info.as_ref().is_some_and(|i| i.spot);
+        let kept =
+            !self.queue.is_empty() && mirror.any_stands() && self.machines.values().any(spot_up);
         // Equal tasks of a job find no machine either.
         let mut in_vain: BTreeSet<(JobId, Option<String>, Option<MachineId>)> = BTreeSet::new();
         for _ in 0..self.queue.len() {
@@ -543,7 +546,7 @@
             };
             let give = &queued.give;
             let shape = (give.task.job, give.zone.clone(), give.claimed.clone());
-            if in_vain.contains(&shape) || !self.place_one(now, mirror, standing, give) {
+            if in_vain.contains(&shape) || !self.place_one(now, mirror, kept, give) {
                 in_vain.insert(shape);
                 self.queue.push_back(queued);
             }
@@ -551,18 +554,15 @@
         self.placeable = false;
     }
 
-    fn place_one(&mut self, now: Time, mirror: &Mirror, standing: bool, give: &Give) -> bool {
+    fn place_one(&mut self, now: Time, mirror: &Mirror, kept: bool, give: &Give) -> bool {
         let Some(open) = mirror.get(give.task.job) else {
             return false;
         };
         let job = Rc::clone(&open.job);
         let estimate_s = job.spec.estimate_s;
         // A machine on which the job has failed gets it again only if no other fits.
-        let choice = choose(
-            estimate_s,
-            self.candidates(now, give, &job, standing, false),
-        )
-        .or_else(|| choose(estimate_s, self.candidates(now, give, &job, standing, true)));
+        let choice = choose(estimate_s, self.candidates(now, give, &job, kept, false))
+            .or_else(|| choose(estimate_s, self.candidates(now, give, &job, kept, true)));
         let Some(choice) = choice else {
             return false;
         };
@@ -597,7 +597,7 @@
         now: Time,
         give: &'a Give,
         job: &'a Job,
-        standing: bool,
+        kept: bool,
         again: bool,
     ) -> impl Iterator<Item = Candidate<'a>> + 'a {
         let need = Room::of_job(job);
@@ -613,7 +613,7 @@
                 && machine.usable(now, self.patience)
                 && again == machine.failing.contains(&job.spec.id)
                 && job.allows(&info.machine_type, &info.zone, info.spot)
-                && !job.leaves(info.spot, standing)
+                && !job.leaves(info.spot, kept)
                 && give.zone.as_ref().is_none_or(|zone| *zone == info.zone);
             let speed = self.speeds.get(id).copied().unwrap_or(Speed::UNMEASURED);
             fits.then(|| Candidate {
--- a/crates/worksshunt-core/src/membership.rs
+++ b/crates/worksshunt-core/src/membership.rs
@@ -371,7 +371,7 @@
             if known != Some(version) {
                 tracing::info!(
                     epoch = %record.number, leader = %record.leader.name,
-                    members = record.members.len(), "new epoch"
+                    members = record.members.len(), standing = record.standing, "new epoch"
                 );
                 let member = record.members.contains(&me);
                 self.epoch = Some((record, version));
--- a/crates/worksshunt-core/tests/stories/standing.rs
+++ b/crates/worksshunt-core/tests/stories/standing.rs
@@ -171,6 +171,26 @@
     world.check();
 }
 
+// Guards against work that waits for ever for spot machines where there are none, be it beside ordinary ones
+// that are left to services, be it that none are rented for it.
+#[test]
+fn work_is_done_in_time_where_there_are_no_spot_machines() {
+    let mut world = ready();
+    world.trouble.no_spot = true;
+    world.submit(0, &service(1, 4));
+    world.until("the service", 30_000, |w| w.running().len() == 4);
+    world.run_ms = 40_000;
+    let mut pressed = long_job(2, 8);
+    pressed["EntregaS"] = json!(200.0);
+    world.submit(1, &pressed);
+    world.until("work with a deadline", 120_000, |w| w.all_done(2, 8));
+    world.withdraw(0, 1);
+    world.until("nothing up", 120_000, |w| w.workers.is_empty());
+    world.submit(1, &long_job(3, 24));
+    world.until("work without one", 200_000, |w| w.all_done(3, 24));
+    world.check();
+}
+
 // Guards against the first service of all waiting for a machine to boot, where the settings say that it
 // must not.
 #[test]
--- a/crates/worksshunt-core/tests/stories/upgrade.rs
+++ b/crates/worksshunt-core/tests/stories/upgrade.rs
@@ -168,6 +168,7 @@
         "one that is down was seen"
     );
     (0..3).for_each(|node| world.crash(node));
+    world.run(6_000);
     (0..2).for_each(|node| world.start(node));
     world.run(8_000);
     let reply = world.submit(0, &service(4, 1));
--- a/crates/worksshunt-core/tests/stories/world/mod.rs
+++ b/crates/worksshunt-core/tests/stories/world/mod.rs
@@ -271,6 +271,8 @@
     pub cut_from_peers: BTreeSet<usize>,
     /// Machines whose reports arrive while answers and orders do not reach them.
     pub deaf: BTreeSet<MachineId>,
+    /// The cloud has no spot machines.
+    pub no_spot: bool,
     /// Largest value the state service takes, bytes, and most changes in a transaction; none: any.
     pub state_limits: Option<(usize, usize)>,
     /// Standing jobs whose replicas end by themselves, as other tasks do.
@@ -957,6 +959,9 @@
                 if let Some(names) = self.rentals.get(&rent.request) {
                     return CloudReply::Machines(names.clone());
                 }
+                if rent.spot && self.trouble.no_spot {
+                    return CloudReply::NoCapacity;
+                }
                 let free = self.capacity.saturating_sub(self.workers.len());
                 let count = free.min(rent.count as usize);
                 if count == 0 {
