An order left unanswered once does not make a machine with replicas look dead

Found on reading: a machine takes no tasks until it has answered a probe, 3 s after an unanswered order, and was given up after 3 s in that state. Now after 4 s at the least.

--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -20,8 +20,8 @@
 
 use crate::constants::{
     ERRORS_BEFORE_BACKOFF, ERROR_BACKOFF_MAX_MS, ERROR_BACKOFF_MS, LATELY_LEAST_MS, LATELY_MS,
-    LEFT_AT_LEAST, REPLICA_BACKOFF_MAX_MS, SILENT_RETURN_REPORTS, SPOT_PATIENCE_MS, STANDBY_SHARE,
-    STEADY_REPLICA_MS,
+    LEFT_AT_LEAST, REPLICA_BACKOFF_MAX_MS, SILENT_RETURN_LEAST_MS, SILENT_RETURN_REPORTS,
+    SPOT_PATIENCE_MS, STANDBY_SHARE, STEADY_REPLICA_MS,
 };
 use crate::jobs::{completions_key, read_completions, Completions, DoneSet, Job, Mirror, DONE};
 use crate::objectives::Objectives;
@@ -316,7 +316,8 @@
             pages: Pages::new(DONE.to_owned(), page_bytes(&facts.state)),
             former: Pages::new(RECORDS.to_owned(), page_bytes(&facts.state)),
             former_first: false,
-            silent_return_ms: (facts.workers.report_s * 1_000.0 * SILENT_RETURN_REPORTS) as u64,
+            silent_return_ms: ((facts.workers.report_s * 1_000.0 * SILENT_RETURN_REPORTS) as u64)
+                .max(SILENT_RETURN_LEAST_MS),
             drains: BTreeSet::new(),
             spot_seen: now,
             odd: BTreeSet::new(),
--- a/crates/worksshunt-core/src/allotment/preempt.rs
+++ b/crates/worksshunt-core/src/allotment/preempt.rs
@@ -216,16 +216,14 @@
     let (lost_ms, id, stopped) = best?;
     quota.take(job);
     let ground = grounds.get_mut(&id)?;
-    {
-        for index in stopped.into_iter().rev() {
-            let victim = ground.victims.remove(index);
-            ground.room.give_back(&Room::of_job(&victim.job));
-            quota.give_back(&victim.job);
-            tracing::debug!(attempt = %victim.attempt, machine = %id, lost_ms, job = %job.spec.id, "preempted");
-            chosen.push(victim.attempt);
-        }
-        ground.room.take(&need);
+    for index in stopped.into_iter().rev() {
+        let victim = ground.victims.remove(index);
+        ground.room.give_back(&Room::of_job(&victim.job));
+        quota.give_back(&victim.job);
+        tracing::debug!(attempt = %victim.attempt, machine = %id, lost_ms, job = %job.spec.id, "preempted");
+        chosen.push(victim.attempt);
     }
+    ground.room.take(&need);
     Some(ground.machine.zone.clone())
 }
 
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -224,14 +224,18 @@
 
 /// Report intervals for which a machine with replicas takes no tasks, mostly because it is silent (see
 /// [`SILENT_REPORTS`]), before it is returned: others that fell silent at the same moment have been
-/// noticed by then.
+/// noticed by then ...
 pub const SILENT_RETURN_REPORTS: f64 = 1.2;
 
+/// ... and milliseconds at the least, in which one that merely left an order unanswered has answered a probe
+/// (see [`PROBE_PAUSE_MS`]).
+pub const SILENT_RETURN_LEAST_MS: u64 = PROBE_PAUSE_MS + 1_000;
+
 /// Of so many machines of a zone one may be in that state for it to be returned: more fall together by
 /// something else than their own end.
 pub const SILENT_SHARE: usize = 12;
 
-/// Leases between two machines returned for that.
+/// Leases between two machines returned for that: whatever makes them look dead, most of a fleet outlives it.
 pub const SILENT_RETURN_LEASES: f64 = 0.25;
 
 /// Speed window of the design, seconds (paper: lease after its preparation allowance).
--- a/crates/worksshunt-core/src/fleet/mod.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -658,7 +658,7 @@
     }
     let jobs = f64::from(expected.jobs);
     let coming = jobs * 1_000.0 / expected.over_ms as f64 * boot_s * RESERVE_BOOTS;
-    // They come by chance: as often as not there are more of them, by the root of their number.
+    // They come by chance: now and then there are more of them, by the root of their number or so.
     let each = f64::from(expected.lately) / jobs.max(1.0);
     let tasks = expected.largest + (each * (coming + coming.sqrt())).ceil() as u32;
     if job.spec.spread && zones.len() > 1 {
