--- a/crates/worksshunt-core/src/membership.rs
+++ b/crates/worksshunt-core/src/membership.rs
@@ -394,6 +394,8 @@
     /// The next epoch, if this controller should write it.
     fn propose(&mut self, me: &Member, alive: &[Member], unreached: &[Member]) -> Option<Txn> {
         let all_understand = self.all.is_subset(&self.understand);
+        // Somebody is going back.
+        let some_do_not = alive.iter().any(|m| !self.understand.contains(&m.name));
         let (number, version, standing) = match &self.epoch {
             None => (Epoch(1), Revision(0), all_understand),
             Some((epoch, version)) => {
@@ -412,7 +414,7 @@
                 let admit = self.waiting.iter().any(|(_, n)| *n >= ADMIT_AFTER_READS);
                 let known = unreached.iter().filter(|m| present.contains(m));
                 let reach = !known.eq(epoch.unreached.iter());
-                let standing = epoch.standing || all_understand;
+                let standing = all_understand || (epoch.standing && !some_do_not);
                 if leader_alive && !gone && !admit && !reach && standing == epoch.standing {
                     return None;
                 }
--- a/crates/worksshunt-core/tests/stories/upgrade.rs
+++ b/crates/worksshunt-core/tests/stories/upgrade.rs
@@ -143,12 +143,16 @@
     let reply = world.submit(0, &service(1, 2));
     assert_eq!((reply.status, reply.retry_after_s), (503, Some(1)));
     assert_eq!(world.submit(1, &job(2, 1)).status, 201, "others are served");
-    let known = store_fields(&production_store()["c/epoch"]);
+    let production = production_store();
+    let known = store_fields(&production["c/epoch"]);
     assert_eq!(
         fields(&world, "c/epoch"),
         known,
         "production reads nothing new"
     );
+    let mut member = fields(&world, "c/n/n0");
+    member.retain(|field| field != "standing");
+    assert_eq!(member, store_fields(&production["c/n/n0"]));
     assert!(world.keys("j/").iter().all(|key| key != "j/j-000001"));
     world.remove("c/n/n2");
     world.run(5_000);
@@ -196,6 +200,11 @@
         Some(json!(true))
     );
     with_production(&mut world);
+    assert_eq!(
+        world.submit(0, &service(1, 2)).status,
+        503,
+        "one has come back"
+    );
     let mut epoch = world.stored("c/epoch").expect("an epoch").clone();
     epoch["number"] = json!(world.epoch() + 1);
     epoch["leader"] = json!({ "name": "n2", "hold": 9_999 });
