After re-reading: the shortest allowed boot, one check for standing jobs, no repeated warning

A submission's kind is asked of the job. Limits that are the least already are not said to have fallen again.

--- a/crates/worksshunt-core/src/controller/requests.rs
+++ b/crates/worksshunt-core/src/controller/requests.rs
@@ -1,6 +1,5 @@
 //! Requests of users and workers, and the cloud's answers.
 
-use worksshunt_wire::user::JobKind;
 use worksshunt_wire::worker::{Redirect, Report, ReportAnswer};
 use worksshunt_wire::JobId;
 
@@ -134,12 +133,12 @@
             Ok(None) => Reply::later("machine types not known yet"),
             Ok(Some(spec)) => {
                 let id = spec.id;
-                let spec_stands = spec.kind == JobKind::Standing;
                 let known = self.mirror.get(id).is_some() || self.mirror.taken_in(id);
                 let job = Box::new(Job {
                     spec,
                     accepted_ms: now.wall_ms,
                 });
+                let stands = job.stands();
                 let ask = Ask {
                     request,
                     id,
@@ -153,7 +152,7 @@
                         Ok(()) => return,
                         Err(reply) => reply,
                     }
-                } else if spec_stands && !self.membership.takes_standing() {
+                } else if stands && !self.membership.takes_standing() {
                     // A controller that does not understand it would call it unknown.
                     Reply::later("controllers that do not know standing jobs may be left")
                 } else if !self.mirror.loaded() || self.store_silent(now.steady) {
--- a/crates/worksshunt-core/src/controller/writes.rs
+++ b/crates/worksshunt-core/src/controller/writes.rs
@@ -370,7 +370,9 @@
     /// Reckons with half of the state service's limits; false if they are the least already.
     pub(super) fn lower_limits(&mut self) -> bool {
         let state = &mut self.settings.facts.state;
-        let least = state.value_kb <= LEAST_VALUE_KB && state.txn_ops <= LEAST_TXN_OPS;
+        if state.value_kb <= LEAST_VALUE_KB && state.txn_ops <= LEAST_TXN_OPS {
+            return false;
+        }
         state.value_kb = (state.value_kb / 2.0).max(LEAST_VALUE_KB);
         state.txn_ops = (state.txn_ops / 2).max(LEAST_TXN_OPS);
         tracing::warn!(
@@ -378,7 +380,7 @@
             txn_ops = state.txn_ops,
             "the state service's limits have fallen"
         );
-        !least
+        true
     }
 
     /// A write was answered, or not.
--- a/crates/worksshunt-core/src/fleet/mod.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -643,19 +643,17 @@
 /// largest job at any time.
 fn reserve(expected: &Expected, catalog: &Catalog) -> Vec<Demand> {
     let job = &expected.job;
-    let mut zones: BTreeSet<&String> = BTreeSet::new();
-    let mut boot_s = f64::MAX;
-    for t in &catalog.types {
+    let offers = catalog.types.iter().flat_map(|t| {
         let allowed = t
             .zones
             .iter()
             .filter(|zone| job.allows(&t.name, zone, false));
-        let before = zones.len();
-        zones.extend(allowed);
-        if zones.len() > before {
-            boot_s = boot_s.min(t.boot_s);
-        }
-    }
+        allowed.map(|zone| (zone, t.boot_s))
+    });
+    let (zones, boots): (BTreeSet<&String>, Vec<f64>) = offers.unzip();
+    let Some(boot_s) = boots.into_iter().min_by(f64::total_cmp) else {
+        return Vec::new();
+    };
     let jobs = f64::from(expected.jobs);
     let coming = jobs * 1_000.0 / expected.over_ms as f64 * boot_s * RESERVE_BOOTS;
     // They come by chance: now and then there are more of them, by the root of their number or so.
@@ -665,8 +663,6 @@
         let each = tasks.div_ceil(zones.len() as u32);
         let zones = zones.into_iter().cloned();
         zones.map(|zone| kept_room(job, Some(zone), each)).collect()
-    } else if zones.is_empty() {
-        Vec::new()
     } else {
         vec![kept_room(job, None, tasks)]
     }
