--- a/crates/worksshunt-core/src/jobs.rs
+++ b/crates/worksshunt-core/src/jobs.rs
@@ -9,7 +9,6 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use worksshunt_wire::cloud::{Catalog, MachineType};
-use worksshunt_wire::settings::Team;
 use worksshunt_wire::state::{Changes, Listing, WatchEvent};
 use worksshunt_wire::user::{JobKind, JobSpec, JobState, Priority};
 use worksshunt_wire::{JobId, NodeName, Revision, TaskId, TeamName};
@@ -234,9 +233,7 @@
     let Some(team) = quota.team(&spec.team) else {
         return impossible("unknown team");
     };
-    let Team {
-        cpus_max, gpus_max, ..
-    } = team;
+    let (cpus_max, gpus_max) = team.limits();
     // Replicas run all at once, other tasks one after the other if need be.
     let (at_once, text) = match spec.kind {
         JobKind::Array => (1.0, "one task needs more than the team's limit"),
@@ -246,7 +243,7 @@
         ),
     };
     let over = |each: f64, limit: f64| each * at_once > limit + ROUNDING;
-    if over(spec.cpus, *cpus_max) || over(spec.gpus, *gpus_max) {
+    if over(spec.cpus, cpus_max) || over(spec.gpus, gpus_max) {
         return impossible(text);
     }
     let need = Room {
--- a/crates/worksshunt-core/src/quota.rs
+++ b/crates/worksshunt-core/src/quota.rs
@@ -85,13 +85,13 @@
     /// How many more tasks of the job its team's limit admits beside what is kept.
     pub fn admitted(&self, job: &Job) -> u32 {
         let kept = self.kept.get(&job.spec.team).copied().unwrap_or_default();
-        self.room(job, kept, |team| (team.cpus_max, team.gpus_max))
+        self.room(job, kept, Team::limits)
     }
 
     /// How many more tasks of a job that something is kept for its team's limit admits.
     pub fn admitted_first(&self, job: &Job) -> u32 {
         let nothing = Usage::default();
-        self.room(job, nothing, |team| (team.cpus_max, team.gpus_max))
+        self.room(job, nothing, Team::limits)
     }
 
     /// Keeps room for one task of the job within its team's limit.
--- a/crates/worksshunt-core/tests/stories/ordinary.rs
+++ b/crates/worksshunt-core/tests/stories/ordinary.rs
@@ -335,6 +335,25 @@
     world.check();
 }
 
+// Guards against a limit of 0 read as a limit: every submission of such a team was refused for good.
+#[test]
+fn a_team_without_guarantee_and_limit_uses_what_there_is() {
+    let mut world = ready();
+    world.run_ms = 20_000;
+    let mut white = long_job(1, 40);
+    white["Cuadrilla"] = json!("white");
+    assert_eq!(world.submit(0, &white).status, 201);
+    world.until("all at once", 40_000, |w| w.running().len() == 40);
+    // What has a limit keeps to it beside that.
+    let mut red = long_job(2, 9);
+    red["Cuadrilla"] = json!("red");
+    world.submit(1, &red);
+    world.until("all tasks", 200_000, |w| {
+        w.all_done(1, 40) && w.all_done(2, 9)
+    });
+    world.check();
+}
+
 /// A full fleet of two machines, run by team blue (guarantee 8) at low priority.
 fn full_fleet(tasks: u32) -> World {
     let mut world = ready();
--- a/crates/worksshunt-wire/src/settings.rs
+++ b/crates/worksshunt-wire/src/settings.rs
@@ -84,14 +84,22 @@
     pub name: TeamName,
     /// Guaranteed processors.
     pub cpus: f64,
-    /// Most processors.
+    /// Most processors; 0: no limit.
     pub cpus_max: f64,
     /// Guaranteed accelerators.
     pub gpus: f64,
-    /// Most accelerators.
+    /// Most accelerators; 0: no limit.
     pub gpus_max: f64,
 }
 
+impl Team {
+    /// The most processors and accelerators that its tasks may use at a time; infinite where there is no limit.
+    pub fn limits(&self) -> (f64, f64) {
+        let limit = |most: f64| if most > 0.0 { most } else { f64::INFINITY };
+        (limit(self.cpus_max), limit(self.gpus_max))
+    }
+}
+
 /// Workers' rhythm.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Workers {
