Tasks on machines decide a one-zone job's zone before tasks that are done

Now what is on machines binds, and what is done binds when nothing else does. Ruled out: a lease ended too early. Test: tasks_on_machines_decide_the_zone_before_tasks_that_are_done, fails without this.

--- a/crates/worksshunt-core/src/allotment/handout.rs
+++ b/crates/worksshunt-core/src/allotment/handout.rs
@@ -329,7 +329,7 @@
             return None;
         }
         let work = self.jobs.get(&job.spec.id)?;
-        let mut counts = work.done.zones().clone();
+        let mut on: BTreeMap<String, u32> = BTreeMap::new();
         let mut unplaced = 0;
         for (index, attempts) in &work.active {
             if work.done.contains(*index) {
@@ -343,7 +343,7 @@
                     out.zone.clone().or_else(there)
                 });
                 match zone {
-                    Some(zone) => *counts.entry(zone).or_default() += 1,
+                    Some(zone) => *on.entry(zone).or_default() += 1,
                     None => unplaced += 1,
                 }
             }
@@ -352,14 +352,20 @@
         if unplaced > 0 && job.spec.one_zone {
             return Some(BTreeMap::new());
         }
+        let done = work.done.zones();
         let all: BTreeSet<String> = self.machines().map(|m| m.up.zone.clone()).collect();
-        let fixed = job.spec.one_zone && !counts.is_empty();
+        // Tasks on machines bind those to come, whatever zone others were done in: the zone of a completion
+        // may become known only when the rest is elsewhere. What is done binds when nothing else does.
+        let binding = if on.is_empty() { done } else { &on };
+        let fixed = job.spec.one_zone && !binding.is_empty();
         Some(
             all.into_iter()
                 .filter_map(|zone| {
-                    let count = counts.get(&zone).copied().unwrap_or(0);
-                    let left = job.zone_limit().saturating_sub(count + unplaced);
-                    ((!fixed || count > 0) && left > 0).then_some((zone, left))
+                    let count = |of: &BTreeMap<String, u32>| of.get(&zone).copied().unwrap_or(0);
+                    let taken = count(&on) + count(done) + unplaced;
+                    let left = job.zone_limit().saturating_sub(taken);
+                    let allowed = !fixed || binding.contains_key(&zone);
+                    (allowed && left > 0).then_some((zone, left))
                 })
                 .collect(),
         )
--- a/crates/worksshunt-core/tests/stories/ordinary.rs
+++ b/crates/worksshunt-core/tests/stories/ordinary.rs
@@ -3,7 +3,7 @@
 use serde_json::json;
 use worksshunt_core::controller::{Event, StoreReply};
 use worksshunt_core::placement::owner;
-use worksshunt_wire::{JobId, NodeName};
+use worksshunt_wire::{JobId, NodeName, TaskId};
 
 use crate::world::{job, World};
 use crate::{long_job, ready, ready_with_boots_of};
@@ -335,6 +335,35 @@
     world.check();
 }
 
+// Guards against tasks in two zones at once, when the zone that an early task was done in becomes known only
+// after the others were put elsewhere (found by a day of mixed troubles).
+#[test]
+fn tasks_on_machines_decide_the_zone_before_tasks_that_are_done() {
+    let mut world = ready_with_boots_of(50.0);
+    world.trouble.cloud_down = true;
+    world.run_ms = 20_000;
+    world.machine("b", true, 0);
+    let mut bound = long_job(1, 6);
+    bound["SamePlace"] = json!(true);
+    world.submit(0, &bound);
+    world.until("a full machine", 20_000, |w| w.running().len() == 4);
+    (0..3).for_each(|node| world.crash(node));
+    let done = json!([["j-000001", [[5, 5]], { "a": 1 }]]);
+    world.put("d/900", json!({ "v": 2, "done": done }));
+    let other = world.machine("a", true, 0);
+    (0..3).for_each(|node| world.start(node));
+    world.run(12_000);
+    assert_eq!(world.launches_on(&other), 0);
+    world.until("the fifth task", 40_000, |w| w.starts.len() == 5);
+    world.rules.completed(TaskId {
+        job: JobId(1),
+        index: 5,
+    });
+    world.trouble.cloud_down = false;
+    world.until("its end", 60_000, |w| w.keys("j/").is_empty());
+    world.check();
+}
+
 // Guards against a limit of 0 read as a limit: every submission of such a team was refused for good.
 #[test]
 fn a_team_without_guarantee_and_limit_uses_what_there_is() {
