A machine whose attempts are all settled is empty, also while its worker remembers them

The machine did not count as empty, was never returned, and where the cloud had no other left, jobs that needed another zone or kind waited for ever. Ruled out: a stuck lane of writes. Test: a_machine_goes_back_although_an_order_to_it_was_never_answered, fails without this.

--- a/crates/worksshunt-core/src/machines/machine.rs
+++ b/crates/worksshunt-core/src/machines/machine.rs
@@ -95,6 +95,11 @@
         matches!(self.state, HeldState::Recording | HeldState::Recorded)
     }
 
+    /// Whether it has completed and that is in the store.
+    pub fn settled(&self) -> bool {
+        self.state == HeldState::Completed && self.durable
+    }
+
     /// How the leader is told of it.
     pub fn phase(&self) -> Phase {
         match self.state {
@@ -280,7 +285,8 @@
             // A machine is not spoken of before it is known to be there now.
             known: self.info.is_some() && (proven_once || unreached),
             usable: self.usable(now, patience),
-            empty: self.held.is_empty(),
+            // What is settled may have to be remembered by the worker for long, but keeps no machine.
+            empty: self.held.values().all(Held::settled),
             noticed: self.notice.is_some(),
             unreached,
             lost: self.lost,
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -440,8 +440,7 @@
             if !machine.lost && now > machine.renewed + self.lease_ms {
                 expired.push(id.clone());
             } else if machine.lost {
-                let durable = |held: &Held| held.state == HeldState::Completed && held.durable;
-                if machine.held.values().all(durable) {
+                if machine.held.values().all(Held::settled) {
                     forget.push(id.clone());
                 }
             } else if machine.summarize(now, self.patience) != machine.summary {
--- a/crates/worksshunt-core/tests/stories/troubles.rs
+++ b/crates/worksshunt-core/tests/stories/troubles.rs
@@ -181,6 +181,20 @@
     world.check();
 }
 
+// Guards against machines that never go back, because the worker has to remember an attempt for as long as an
+// order that was not answered might still arrive (found by a day of mixed troubles).
+#[test]
+fn a_machine_goes_back_although_an_order_to_it_was_never_answered() {
+    let mut world = ready();
+    world.trouble.hold_orders = true;
+    world.submit(0, &job(1, 8));
+    world.until("all tasks", 60_000, |w| w.all_done(1, 8));
+    world.trouble.hold_orders = false;
+    world.until("an empty fleet", 60_000, |w| w.workers.is_empty());
+    assert!(world.release_orders() > 0, "none was held back");
+    world.check();
+}
+
 // Guards against tasks that wait for an owner the leader cannot speak with, while others have room.
 #[test]
 fn tasks_go_where_the_leader_is_heard() {
