A worker's session has its lease from its beginning on, however it was heard of

Now a later session puts the lease off to when it was first seen. Ruled out: the copy of a report itself, which renews nothing.

--- a/crates/worksshunt-core/src/machines/reports.rs
+++ b/crates/worksshunt-core/src/machines/reports.rs
@@ -133,6 +133,10 @@
             machine.token_shown(current, now);
             machine.unheeded += 1;
         }
+        if report.session > machine.newest.0 {
+            // A session has its lease from its beginning on, whoever was told of it and how.
+            machine.renewed = machine.renewed.max(now);
+        }
         machine.kept.retain(|_, session| *session >= report.session);
         machine.newest = order;
         machine.heard = now;
--- a/crates/worksshunt-core/tests/stories/meetings/rest.rs
+++ b/crates/worksshunt-core/tests/stories/meetings/rest.rs
@@ -462,6 +462,36 @@
     }
 }
 
+// Guards against a lease that is reckoned from the last report although the worker, heard through direct
+// orders only, is in a later session, whose lease began with it (found by a day of mixed troubles).
+#[test]
+fn a_machine_whose_reports_are_lost_begins_another_session_and_answers_orders() {
+    let mut sessions = 0;
+    for release_ms in (7_000..17_000).step_by(250) {
+        let moment = format!("a report arrives after {release_ms}");
+        let mut world = ready_with_boots_of(50.0);
+        world.run_ms = 30_000;
+        let id = world.machine("a", true, 0);
+        world.run(6_000);
+        world.trouble.cloud_down = true;
+        world.trouble.hold_reports.insert(id.clone());
+        world.run(release_ms);
+        assert!(world.release_reports(&[0, 1, 2]) > 0, "{moment}");
+        for job in 1..=6 {
+            world.send_submit(0, &long_job(job, 1));
+            world.run(1_300);
+        }
+        // By the time at which the lease is taken to be over there is another machine.
+        world.trouble.cloud_down = false;
+        world.run(22_000);
+        sessions += world.session(&id);
+        world.trouble.hold_reports.clear();
+        world.run(5_000);
+        settle(&mut world, &moment);
+    }
+    assert!(sessions > 40, "no session rose");
+}
+
 // Guards against work that waits for ever beside other work, and links that are taken for dead.
 #[test]
 fn there_is_more_work_than_room_over_slow_links() {
@@ -514,6 +544,35 @@
     }
 }
 
+// Guards against a controller that wakes in the middle of what it had decided long ago, and acts on it.
+#[test]
+fn a_controller_stands_still_beyond_a_lease_and_goes_on_where_it_stopped() {
+    for still_ms in [1_500, 5_000, 12_000, 19_000, 27_000] {
+        for step in 0..6 {
+            let moment = format!("still for {still_ms} from step {step}");
+            let mut world = busy(4, 25_000);
+            let node = (world.leader() + step as usize) % 3;
+            world.submit(others(node)[0], &red(8, 8));
+            world.submit(others(node)[0], &long_job(9, 8));
+            world.run(step * 13);
+            world.freeze(node, still_ms);
+            world.run(700);
+            for id in [1, 8] {
+                world.send_withdraw(others(node)[0], JobId(id));
+            }
+            world.submit(others(node)[0], &red(10, 8));
+            world.run(still_ms);
+            assert_eq!(world.effects("freeze"), 1, "{moment}");
+            world.run(22_000);
+            settle(&mut world, &moment);
+            assert!(
+                world.all_done(9, 8) && world.all_done(10, 8),
+                "{moment}"
+            );
+        }
+    }
+}
+
 // Guards against refusals that hit an accepted job because a node knows too little yet.
 #[test]
 fn bad_input_is_refused_under_troubles_and_never_hits_an_accepted_job() {
--- a/crates/worksshunt-core/tests/stories/mixed.rs
+++ b/crates/worksshunt-core/tests/stories/mixed.rs
@@ -54,7 +54,7 @@
     let node = dice.node();
     let for_ms = dice.ms(500..22_000);
     let machine = dice.machine(world);
-    match (dice.0.u32(0..20), machine) {
+    match (dice.0.u32(0..22), machine) {
         (0, _) => {
             let leader = world.leader();
             world.crash(leader);
@@ -143,6 +143,10 @@
                 w.release_txns();
             });
         }
+        (20, _) => world.freeze(node, for_ms),
+        (21, Some(id)) => {
+            world.workers.remove(&id);
+        }
         (15, Some(id)) => world.hang(&id, for_ms),
         (16, Some(id)) => {
             world.trouble.deaf.insert(id.clone());
--- a/crates/worksshunt-core/tests/stories/world/mod.rs
+++ b/crates/worksshunt-core/tests/stories/world/mod.rs
@@ -242,6 +242,14 @@
     Scene(Scene),
 }
 
+/// A controller that stands still, with what it was doing and what has come meanwhile.
+#[derive(Default)]
+struct Frozen {
+    /// What it had decided when it stopped, which leaves when it goes on.
+    decided: Option<(u64, Time, Vec<Action>)>,
+    came: Vec<(u64, Event)>,
+}
+
 /// Something that a story lets happen later.
 type Scene = Box<dyn FnOnce(&mut World)>;
 
@@ -408,6 +416,7 @@
     txns: u64,
     held_orders: Vec<DirectOrders>,
     held_reports: Vec<Report>,
+    frozen: BTreeMap<usize, Frozen>,
     /// Copies kept for the next leader, and the epoch in which they are kept.
     kept_copies: Vec<Report>,
     kept_in: u64,
@@ -517,6 +526,7 @@
             txns: 0,
             held_orders: Vec::new(),
             held_reports: Vec::new(),
+            frozen: BTreeMap::new(),
             kept_copies: Vec::new(),
             kept_in: 0,
             took_effect: BTreeMap::new(),
@@ -565,6 +575,7 @@
     pub fn start(&mut self, node: usize) {
         self.lives += 1;
         self.rules.keep(&self.settings[node]);
+        self.frozen.remove(&node);
         self.nodes[node] = Some(Node {
             controller: Controller::new(self.settings[node].clone(), Parameters::default()),
             life: self.lives,
@@ -576,6 +587,26 @@
     /// Ends a controller without a word.
     pub fn crash(&mut self, node: usize) {
         self.nodes[node] = None;
+        self.frozen.remove(&node);
+    }
+
+    /// A controller stands still for so long, in the middle of what it does next.
+    pub fn freeze(&mut self, node: usize, ms: u64) {
+        self.frozen.entry(node).or_default();
+        self.later(ms, move |world| {
+            let Some(frozen) = world.frozen.remove(&node) else {
+                return;
+            };
+            world.effect("freeze");
+            if let Some((life, steady, actions)) = frozen.decided {
+                for action in actions {
+                    world.perform(node, life, steady, action);
+                }
+            }
+            for (life, event) in frozen.came {
+                world.dispatch(node, life, event);
+            }
+        });
     }
 
     /// Whether a controller is there.
@@ -830,6 +861,11 @@
         self.on_machines().any(|(machine, _)| machine == id)
     }
 
+    /// The session that a machine's worker is in; 0 if it is gone.
+    pub fn session(&self, id: &MachineId) -> u64 {
+        self.workers.get(id).map_or(0, |worker| worker.session)
+    }
+
     /// Jobs with tasks on a machine.
     pub fn jobs_on(&self, id: &MachineId) -> BTreeSet<JobId> {
         let here = self.on_machines().filter(|(machine, _)| *machine == id);
@@ -920,12 +956,21 @@
         let Some(state) = self.nodes[node].as_mut().filter(|n| n.life == life) else {
             return;
         };
+        let frozen = self.frozen.get_mut(&node);
+        if let Some(frozen) = frozen.filter(|frozen| frozen.decided.is_some()) {
+            frozen.came.push((life, event));
+            return;
+        }
         let steady = Time(now - state.started);
         let at = Now {
             steady,
             wall_ms: WALL_MS + now,
         };
         let actions = state.controller.handle(at, event, &|| steady);
+        if let Some(frozen) = self.frozen.get_mut(&node) {
+            frozen.decided = Some((life, steady, actions));
+            return;
+        }
         for action in actions {
             self.perform(node, life, steady, action);
         }
@@ -1158,7 +1203,8 @@
         }
         if self.now.is_multiple_of(1_000) {
             let hopeless = &self.trouble.failing;
-            let quiet = self.trouble.none() && self.nodes.iter().all(Option::is_some);
+            let all_up = self.nodes.iter().all(Option::is_some) && self.frozen.is_empty();
+            let quiet = self.trouble.none() && all_up;
             rules.look_for_waiting(self.now, quiet, &self.seen(), &self.free(), hopeless);
         }
         self.rules = rules;
@@ -1652,7 +1698,7 @@
     /// Ends the day, and fails the test if a rule was broken. Once troubles are over, questions about all
     /// accepted jobs are answered, by every controller.
     pub fn check(&mut self) {
-        if self.trouble.none() && self.nodes.iter().all(Option::is_some) {
+        if self.trouble.none() && self.nodes.iter().all(Option::is_some) && self.frozen.is_empty() {
             self.ask_for_all();
         }
         assert!(self.rules.broken.is_empty(), "{:?}", self.rules.broken);
