No machine is rented in a zone that may have no more of the tasks that wait

The bounds that a job's tasks set are now reckoned without regard to where machines are, and the fleet is told them. Ruled out: refused kinds alone.

--- a/crates/worksshunt-core/src/allotment/handout.rs
+++ b/crates/worksshunt-core/src/allotment/handout.rs
@@ -323,8 +323,24 @@
         Some(self.zone_room(job)?.into_keys().collect())
     }
 
-    /// How many more of the job's tasks each zone may have; none where its other tasks do not decide that.
+    /// How many more of the job's tasks each zone that has machines may have; none where its other tasks do
+    /// not decide that.
     pub(super) fn zone_room(&self, job: &Job) -> Option<BTreeMap<String, u32>> {
+        let bounds = self.zone_bounds(job)?;
+        let all: BTreeSet<String> = self.machines().map(|m| m.up.zone.clone()).collect();
+        Some(
+            all.into_iter()
+                .map(|zone| {
+                    let left = bounds.left(&zone);
+                    (zone, left)
+                })
+                .filter(|(_, left)| *left > 0)
+                .collect(),
+        )
+    }
+
+    /// What the job's tasks say of the zones of those to come; none where they do not decide that.
+    pub(super) fn zone_bounds(&self, job: &Job) -> Option<ZoneBounds> {
         if !job.zones_matter() {
             return None;
         }
@@ -348,27 +364,56 @@
                 }
             }
         }
-        // An attempt somewhere unknown (inherited, its machine silent) may be in any zone.
-        if unplaced > 0 && job.spec.one_zone {
-            return Some(BTreeMap::new());
-        }
         let done = work.done.zones();
-        let all: BTreeSet<String> = self.machines().map(|m| m.up.zone.clone()).collect();
         // Tasks on machines bind those to come, whatever zone others were done in: the zone of a completion
         // may become known only when the rest is elsewhere. What is done binds when nothing else does.
         let binding = if on.is_empty() { done } else { &on };
-        let fixed = job.spec.one_zone && !binding.is_empty();
-        Some(
-            all.into_iter()
-                .filter_map(|zone| {
-                    let count = |of: &BTreeMap<String, u32>| of.get(&zone).copied().unwrap_or(0);
-                    let taken = count(&on) + count(done) + unplaced;
-                    let left = job.zone_limit().saturating_sub(taken);
-                    let allowed = !fixed || binding.contains_key(&zone);
-                    (allowed && left > 0).then_some((zone, left))
-                })
-                .collect(),
-        )
+        let only = match job.spec.one_zone {
+            // An attempt somewhere unknown (inherited, its machine silent) may be in any zone.
+            true if unplaced > 0 => Some(BTreeSet::new()),
+            true if !binding.is_empty() => Some(binding.keys().cloned().collect()),
+            _ => None,
+        };
+        for (zone, tasks) in done {
+            *on.entry(zone.clone()).or_default() += tasks;
+        }
+        Some(ZoneBounds {
+            only,
+            taken: on,
+            unplaced,
+            limit: job.zone_limit(),
+        })
+    }
+}
+
+/// Which zones a job's next task may be in, by the others. Says nothing of where there are machines.
+#[derive(Debug)]
+pub(super) struct ZoneBounds {
+    /// The zones that come into question; none: any.
+    pub only: Option<BTreeSet<String>>,
+    /// Tasks of the job in each zone, done ones included.
+    taken: BTreeMap<String, u32>,
+    /// Tasks in zones that are not known.
+    unplaced: u32,
+    /// Most tasks in one zone.
+    limit: u32,
+}
+
+impl ZoneBounds {
+    /// How many more tasks the zone may have.
+    fn left(&self, zone: &str) -> u32 {
+        let allowed = |zones: &BTreeSet<String>| zones.contains(zone);
+        if !self.only.as_ref().is_none_or(allowed) {
+            return 0;
+        }
+        let taken = self.taken.get(zone).copied().unwrap_or(0) + self.unplaced;
+        self.limit.saturating_sub(taken)
+    }
+
+    /// Zones that may have no more.
+    pub fn full(&self) -> BTreeSet<String> {
+        let zones = self.taken.keys();
+        zones.filter(|zone| self.left(zone) == 0).cloned().collect()
     }
 }
 
--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -210,6 +210,8 @@
     pub slack_s: f64,
     /// The zone they must be in.
     pub zone: Option<String>,
+    /// Zones that they must not be in.
+    pub full_zones: BTreeSet<String>,
     /// Whether they leave ordinary machines to others.
     pub spot_only: bool,
     /// Whether there are no spot machines to wait for.
@@ -742,10 +744,10 @@
             let tasks = waiting.min(quota.admitted(&work.job));
             quota.take_many(&work.job, tasks);
             if waiting + running > 0 {
-                let zone = match self.allowed_zones(&work.job) {
-                    Some(zones) if zones.len() == 1 => zones.into_iter().next(),
-                    _ => None,
-                };
+                // Not only where there are machines: a zone may have lost its last one.
+                let bounds = self.zone_bounds(&work.job);
+                let only = bounds.as_ref().and_then(|bounds| bounds.only.as_ref());
+                let zone = only.and_then(|zones| zones.first().cloned());
                 demand.push(Demand {
                     job: Rc::clone(&work.job),
                     tasks,
@@ -754,6 +756,7 @@
                     running_s,
                     slack_s: self.objectives.slack_s(&work.job),
                     zone,
+                    full_zones: bounds.map_or(BTreeSet::new(), |bounds| bounds.full()),
                     spot_only: work.job.leaves(false, kept),
                     spotless: !has_spot,
                 });
--- a/crates/worksshunt-core/src/fleet/mod.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -695,6 +695,7 @@
         running_s: 0.0,
         slack_s: 0.0,
         zone,
+        full_zones: BTreeSet::new(),
         spot_only: false,
         spotless: false,
     }
@@ -753,6 +754,7 @@
     let job = &demand.job;
     job.allows(&offer.machine_type, &offer.zone, offer.spot)
         && demand.zone.as_ref().is_none_or(|zone| *zone == offer.zone)
+        && !demand.full_zones.contains(&offer.zone)
         && (offer.spot || !demand.spot_only)
 }
 
@@ -823,6 +825,7 @@
             running_s: 0.0,
             slack_s: 20.0,
             zone: None,
+            full_zones: BTreeSet::new(),
             spot_only: false,
             spotless: false,
         }]
@@ -838,6 +841,29 @@
         )
     }
 
+    // Guards against machines rented over and over where the tasks that wait may not run, while the zone that
+    // they need is refused (found by days of mixed troubles).
+    #[test]
+    fn no_machine_is_rented_in_a_zone_that_may_have_no_more_of_the_tasks() {
+        let zones = |full: &[&str]| -> BTreeSet<String> {
+            let mut fleet = fleet(1);
+            let mut demand = demand(40, None);
+            demand[0].full_zones = full.iter().map(|zone| (*zone).to_owned()).collect();
+            let mut asked = BTreeSet::new();
+            for now in (0..20_000).step_by(1_000) {
+                for request in plan(&mut fleet, now, &demand) {
+                    if let CloudRequest::Rent(rent) = request {
+                        fleet.rent_refused(Time(now), &rent.request);
+                        asked.insert(rent.zone);
+                    }
+                }
+            }
+            asked
+        };
+        assert_eq!(zones(&[]), BTreeSet::from(["a".to_owned()]));
+        assert_eq!(zones(&["a"]), BTreeSet::new());
+    }
+
     // Guards against minutes until a large fleet is there again, and against asking for it twice.
     #[test]
     fn a_large_fleet_is_asked_for_in_several_requests_at_once() {
--- a/crates/worksshunt-core/tests/stories/meetings/rest.rs
+++ b/crates/worksshunt-core/tests/stories/meetings/rest.rs
@@ -416,6 +416,24 @@
     }
 }
 
+// Guards against machines rented over and over in a zone where the job that waits may not run, because its own
+// has none and is refused just then (found by days of mixed troubles: the cloud was never asked again in time).
+#[test]
+fn no_machine_is_rented_in_a_zone_that_may_have_no_more_of_the_tasks_that_wait() {
+    let mut world = ready();
+    world.run_ms = 3_000;
+    world.capacity = 1;
+    world.trouble.cloud_down = true;
+    world.machine("a", true, 0);
+    let mut spread = long_job(1, 6);
+    spread["Spread"] = json!(true);
+    world.submit(0, &spread);
+    world.until("the first half", 30_000, |w| w.starts.len() >= 3);
+    world.trouble.cloud_down = false;
+    world.until("all tasks", 90_000, |w| w.all_done(1, 6));
+    settle(&mut world, "spread");
+}
+
 // Guards against a leader that only its workers and users are left to.
 #[test]
 fn a_leader_cut_off_keeps_its_workers_while_jobs_are_cancelled_through_the_new_one() {
@@ -565,10 +583,7 @@
             assert_eq!(world.effects("freeze"), 1, "{moment}");
             world.run(22_000);
             settle(&mut world, &moment);
-            assert!(
-                world.all_done(9, 8) && world.all_done(10, 8),
-                "{moment}"
-            );
+            assert!(world.all_done(9, 8) && world.all_done(10, 8), "{moment}");
         }
     }
 }
