Stories after re-reading: one way to end and restart a controller, one check that could not fail

The story of the watch that is never answered asserted that a controller was up, which nothing in it could change; it asserts now that watches were left unanswered. A parameter's comment named another one.

--- a/crates/worksshunt-core/tests/stories/meetings/first.rs
+++ b/crates/worksshunt-core/tests/stories/meetings/first.rs
@@ -40,14 +40,14 @@
         let mut world = busy(6, 200_000);
         world.trouble.watchless = (0..3).collect();
         world.run(after_ms);
-        let (first, second) = (world.leader(), others(world.leader())[0]);
+        let second = others(world.leader())[0];
         for id in 1..=4 {
             world.send_withdraw(second, JobId(id));
         }
         world.run(1_000);
         assert!(world.rules.any_cancelled());
         world.run(40_000);
-        assert!(world.is_up(first));
+        assert!(world.effects("unanswered watch") > 0);
         settle(&mut world, &format!("after {after_ms}"));
     }
 }
@@ -218,8 +218,7 @@
             let leader = world.leader();
             let gone = if leads { leader } else { others(leader)[0] };
             let owned = world.reporting_to(gone);
-            world.crash(gone);
-            world.later(2_000, move |w| w.start(gone));
+            world.bounce(gone, 2_000);
             world.run(cancel_ms);
             for id in 1..=6 {
                 world.send_withdraw(others(gone)[id as usize % 2], JobId(id));
@@ -312,8 +311,7 @@
         }
         if id == 200 {
             let leader = world.leader();
-            world.crash(leader);
-            world.later(4_000, move |w| w.start(leader));
+            world.bounce(leader, 4_000);
         }
         world.run(250);
     }
--- a/crates/worksshunt-core/tests/stories/meetings/rest.rs
+++ b/crates/worksshunt-core/tests/stories/meetings/rest.rs
@@ -5,15 +5,9 @@
 use worksshunt_wire::JobId;
 
 use super::{busy, machines_of, others, red, settle};
-use crate::world::{job, LateWrites, World};
+use crate::world::{job, LateWrites};
 use crate::{long_job, ready, ready_with_boots_of};
 
-/// Ends a controller and starts it again after so long.
-fn bounce(world: &mut World, node: usize, ms: u64) {
-    world.crash(node);
-    world.later(ms, move |w| w.start(node));
-}
-
 // Guards against answers that come after their sender has given up, taken for none.
 #[test]
 fn the_state_service_answers_slowly_while_users_cancel_and_ask() {
@@ -52,7 +46,7 @@
         world.trouble.hold_reports.insert(held.clone());
         world.run(4_000);
         let leader = world.leader();
-        bounce(&mut world, leader, 400);
+        world.bounce(leader, 400);
         world.run(6_000 + release_ms);
         assert_ne!(world.epoch(), 1, "{moment}");
         assert!(world.release_reports(&[0, 1, 2]) > 0, "{moment}");
@@ -87,7 +81,7 @@
             world.run(crash_ms);
             let leader = world.leader();
             let epoch = world.epoch();
-            bounce(&mut world, leader, 3_000);
+            world.bounce(leader, 3_000);
             world.run(14_000);
             assert!(world.epoch() > epoch, "{moment}");
             world.trouble.deaf.clear();
@@ -126,10 +120,10 @@
             let moment = format!("{alone} back after {back_ms}");
             let mut world = busy(5, 40_000);
             let leader = world.leader();
-            bounce(&mut world, leader, back_ms);
+            world.bounce(leader, back_ms);
             world.run(back_ms + 1_500);
             let leader = world.leader();
-            bounce(&mut world, leader, back_ms);
+            world.bounce(leader, back_ms);
             world.run(back_ms + 700);
             world.submit(
                 (0..3).find(|n| world.is_up(*n)).expect("one"),
@@ -164,7 +158,7 @@
         world.hang(&lost, 18_000);
         world.run(30_000);
         let leader = world.leader();
-        bounce(&mut world, leader, 500);
+        world.bounce(leader, 500);
         world.run(20_000);
         assert!(world.effects("copy") > 100, "{moment}");
         settle(&mut world, &moment);
@@ -191,7 +185,7 @@
         world.run(release_ms);
         if release_ms % 1_200 == 200 {
             let leader = world.leader();
-            bounce(&mut world, leader, 300);
+            world.bounce(leader, 300);
             world.run(1_500);
         }
         assert!(world.release_orders() > 0, "{moment}");
@@ -291,11 +285,7 @@
         });
         world.run(crash_ms);
         let leader = world.leader();
-        bounce(
-            &mut world,
-            leader,
-            if crash_ms % 800 == 0 { 300 } else { 5_000 },
-        );
+        world.bounce(leader, if crash_ms % 800 == 0 { 300 } else { 5_000 });
         world.run(12_000);
         assert!(world.effects("close look") > 0, "{moment}");
         settle(&mut world, &moment);
@@ -314,7 +304,7 @@
             let first = world.epoch();
             for change in 0..10 {
                 let leader = world.leader();
-                bounce(&mut world, leader, 200 + 450 * (change % 4));
+                world.bounce(leader, 200 + 450 * (change % 4));
                 if outage_ms > 0 && change % 3 == 1 {
                     world.later(600, |w| w.trouble.state_down = true);
                     world.later(600 + outage_ms, |w| w.trouble.state_down = false);
@@ -374,7 +364,7 @@
         }
         world.run(10_000);
         let leader = world.leader();
-        bounce(&mut world, leader, 700);
+        world.bounce(leader, 700);
         world.run(20_000);
         assert!(world.effects("late write") > 20, "seed {seed}");
         settle(&mut world, &format!("seed {seed}"));
@@ -408,7 +398,7 @@
         }
         if loss_ms % 2_000 == 0 {
             let leader = world.leader();
-            bounce(&mut world, leader, 2_000);
+            world.bounce(leader, 2_000);
         }
         world.run(40_000);
         settle(&mut world, &moment);
@@ -598,7 +588,7 @@
         world.submit(0, &job(1, 3));
         world.submit(1, &red(2, 8));
         let leader = world.leader();
-        bounce(&mut world, leader, 150 * seed);
+        world.bounce(leader, 150 * seed);
         world.trouble.late_writes = Some(LateWrites {
             share: 0.3,
             after_ms: (0, 3_000),
--- a/crates/worksshunt-core/tests/stories/mixed.rs
+++ b/crates/worksshunt-core/tests/stories/mixed.rs
@@ -57,20 +57,14 @@
     match (dice.0.u32(0..22), machine) {
         (0, _) => {
             let leader = world.leader();
-            world.crash(leader);
-            let back_ms = dice.ms(30..7_000);
-            world.later(back_ms, move |w| w.start(leader));
+            world.bounce(leader, dice.ms(30..7_000));
         }
         (1, _) => {
-            world.crash(node);
-            let back_ms = dice.ms(30..7_000);
-            world.later(back_ms, move |w| w.start(node));
+            world.bounce(node, dice.ms(30..7_000));
         }
         (2, _) => {
             for node in 0..3 {
-                world.crash(node);
-                let back_ms = dice.ms(30..20_000);
-                world.later(back_ms, move |w| w.start(node));
+                world.bounce(node, dice.ms(30..20_000));
             }
         }
         (3 | 4, _) => {
--- a/crates/worksshunt-core/tests/stories/world/mod.rs
+++ b/crates/worksshunt-core/tests/stories/world/mod.rs
@@ -590,6 +590,12 @@
         self.frozen.remove(&node);
     }
 
+    /// Ends a controller and starts it again after so long.
+    pub fn bounce(&mut self, node: usize, ms: u64) {
+        self.crash(node);
+        self.later(ms, move |world| world.start(node));
+    }
+
     /// A controller stands still for so long, in the middle of what it does next.
     pub fn freeze(&mut self, node: usize, ms: u64) {
         self.frozen.entry(node).or_default();
@@ -1349,7 +1355,10 @@
             let answer = !waits && (!changes.events.is_empty() || self.now >= watch.ends);
             let reply = match answer {
                 true => StoreReply::Changes(changes),
-                false if self.now >= watch.until => StoreReply::Unknown,
+                false if self.now >= watch.until => {
+                    self.effect("unanswered watch");
+                    StoreReply::Unknown
+                }
                 false => {
                     self.watches.push(watch);
                     continue;
--- a/crates/worksshunt-core/tests/stories/world/rules.rs
+++ b/crates/worksshunt-core/tests/stories/world/rules.rs
@@ -321,7 +321,7 @@
     }
 
     /// Looks for jobs that wait beside machines with room, while there is no trouble (`quiet`).
-    /// `stands` are jobs whose tasks cannot make progress by the story's own will.
+    /// `hopeless` are jobs whose tasks cannot make progress by the story's own will.
     pub fn look_for_waiting(
         &mut self,
         now: u64,
