--- a/crates/worksshunt/src/options.rs
+++ b/crates/worksshunt/src/options.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use worksshunt_core::constants::{LEAST_SOCKETS, LEAST_TXN_OPS, LEAST_VALUE_KB};
 use worksshunt_core::placement::Parameters;
-use worksshunt_wire::settings::Settings;
+use worksshunt_wire::settings::{Settings, Team};
 
 /// What is wrong with the settings: the file, and the field where that is known.
 #[derive(Debug, thiserror::Error, PartialEq, Eq)]
@@ -39,11 +39,7 @@
     config: &Path,
     options: Option<&Path>,
 ) -> Result<(Settings, Parameters), SettingsError> {
-    let settings = in_file(config, |text| {
-        let settings = serde_json::from_str(text).map_err(|e| e.to_string())?;
-        check(&settings)?;
-        Ok(settings)
-    })?;
+    let settings = in_file(config, settings)?;
     let parameters = match options {
         None => Parameters::default(),
         Some(path) => in_file(path, parameters)?,
@@ -63,6 +59,15 @@
     read(&text).map_err(named)
 }
 
+fn settings(text: &str) -> Result<Settings, String> {
+    let mut reader = serde_json::Deserializer::from_str(text);
+    let settings =
+        serde_path_to_error::deserialize(&mut reader).map_err(|error| error.to_string())?;
+    reader.end().map_err(|error| error.to_string())?;
+    check(&settings)?;
+    Ok(settings)
+}
+
 fn parameters(text: &str) -> Result<Parameters, String> {
     let options: Options = toml::from_str(text).map_err(|e| e.to_string())?;
     let defaults = Parameters::default();
@@ -101,6 +106,29 @@
         .map_err(|_| format!("{field}: {text:?} is not an address and port"))
 }
 
+/// A team's guarantee lies within its limit. A limit of 0 is none, so any guarantee lies within it.
+fn check_team(team: &Team) -> Result<(), String> {
+    let (cpus_limit, gpus_limit) = team.limits();
+    for (field, guarantee, stated, limit) in [
+        ("cpus", team.cpus, team.cpus_max, cpus_limit),
+        ("gpus", team.gpus, team.gpus_max, gpus_limit),
+    ] {
+        if !(stated.is_finite() && stated >= 0.0) {
+            return Err(format!(
+                "facts.teams.{field}_max: {stated} of {} is not a number from 0 up",
+                team.name
+            ));
+        }
+        if !(guarantee.is_finite() && (0.0..=limit).contains(&guarantee)) {
+            return Err(format!(
+                "facts.teams.{field}: {guarantee} of {} is not from 0 to {limit}",
+                team.name
+            ));
+        }
+    }
+    Ok(())
+}
+
 fn check(settings: &Settings) -> Result<(), String> {
     if settings.host_name.0.is_empty() || settings.host_name.0.contains([' ', '/']) {
         return Err("host_name: empty, or with a space or slash".to_owned());
@@ -125,17 +153,7 @@
         if !teams.insert(&team.name) {
             return Err(format!("facts.teams.name: {} twice", team.name));
         }
-        for (field, part, all) in [
-            ("cpus", team.cpus, team.cpus_max),
-            ("gpus", team.gpus, team.gpus_max),
-        ] {
-            if !(part.is_finite() && all.is_finite() && 0.0 <= part && part <= all) {
-                return Err(format!(
-                    "facts.teams.{field}: {} of {} is not from 0 to {all}",
-                    part, team.name
-                ));
-            }
-        }
+        check_team(team)?;
     }
     positive("facts.workers.report_s", facts.workers.report_s)?;
     positive("facts.workers.lease_s", facts.workers.lease_s)?;
@@ -180,95 +198,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn settings() -> serde_json::Value {
-        serde_json::json!({
-            "host_name": "estiba-0", "site": "z", "client_listen": "127.0.0.1:1",
-            "internal_addr": "127.0.0.1:2", "news": true,
-            "known": [{"host_name": "estiba-1", "site": "z", "endpoint": "127.0.0.1:3"}],
-            "services": {"cloud": "127.0.0.1:4", "state": "127.0.0.1:5"},
-            "facts": {
-                "teams": [{"name": "t", "cpus": 1.0, "cpus_max": 2.0, "gpus": 0.0, "gpus_max": 0.0}],
-                "workers": {"report_s": 2.5, "lease_s": 16.0, "cancel_s": 40.0},
-                "state": {"rps": 100.0, "write_rps": 20.0, "value_kb": 8.0, "txn_ops": 20},
-                "cloud": {"rps": 5.0, "list_lag_s": 5.0},
-                "limits": {"sockets": 1000}
-            }
-        })
-    }
-
-    fn problem(change: impl FnOnce(&mut serde_json::Value)) -> Result<(), String> {
-        let mut value = settings();
-        change(&mut value);
-        let settings = serde_json::from_value(value).map_err(|e| e.to_string())?;
-        check(&settings)
-    }
-
-    #[test]
-    fn settings_with_unknown_fields_are_fine() {
-        assert_eq!(problem(|_| {}), Ok(()));
-        for next in [
-            serde_json::Value::Null,
-            serde_json::json!({}),
-            serde_json::json!({"value_kb": 2.0, "news": 1}),
-            serde_json::json!({"txn_ops": 6, "write_rps": 1e6}),
-        ] {
-            let given = next.clone();
-            assert_eq!(
-                problem(|v| v["facts"]["state"]["next"] = given),
-                Ok(()),
-                "{next}"
-            );
-        }
-    }
-
-    #[test]
-    fn contradictions_are_named_by_field() {
-        type Change = fn(&mut serde_json::Value);
-        let cases: [(&str, Change); 7] = [
-            ("facts.state.next.txn_ops", |v| {
-                v["facts"]["state"]["next"] = serde_json::json!({"txn_ops": 1})
-            }),
-            ("facts.state.next.value_kb", |v| {
-                v["facts"]["state"]["next"] = serde_json::json!({"value_kb": 0.0, "rps": 9.0})
-            }),
-            ("facts.teams.cpus", |v| {
-                v["facts"]["teams"][0]["cpus"] = 3.0.into()
-            }),
-            ("known.host_name", |v| {
-                v["known"][0]["host_name"] = "estiba-0".into()
-            }),
-            ("services.state", |v| {
-                v["services"]["state"] = "nowhere".into()
-            }),
-            ("internal_addr", |v| {
-                v["internal_addr"] = "127.0.0.1:1".into()
-            }),
-            ("facts.workers.lease_s", |v| {
-                v["facts"]["workers"]["lease_s"] = 0.0.into()
-            }),
-        ];
-        for (field, change) in cases {
-            let error = problem(change).expect_err(field);
-            assert!(error.contains(field), "{error}");
-        }
-    }
-
-    #[test]
-    fn operators_settings_refuse_unknown_keys_and_bad_values() {
-        let given = parameters("[placement]\nwindow_s = 60.0\n").expect("valid");
-        assert_eq!(given.window_s, 60.0);
-        assert_eq!(given.start_speed, Parameters::default().start_speed);
-        for bad in [
-            "windows = 1",
-            "[placement]\nwindow = 1.0",
-            "[placement]\nwindow_s = -1.0",
-            "[placement]\nsize_bands_s = [2.0, 1.0]",
-            "not toml",
-        ] {
-            assert!(parameters(bad).is_err(), "{bad}");
-        }
-    }
-}
+#[path = "options_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/worksshunt/src/options_tests.rs
@@ -0,0 +1,134 @@
+//! Tests of what is refused in settings, and how it is named.
+
+use super::*;
+
+fn valid() -> serde_json::Value {
+    serde_json::json!({
+        "host_name": "estiba-0", "site": "z", "client_listen": "127.0.0.1:1",
+        "internal_addr": "127.0.0.1:2", "news": true,
+        "known": [{"host_name": "estiba-1", "site": "z", "endpoint": "127.0.0.1:3"}],
+        "services": {"cloud": "127.0.0.1:4", "state": "127.0.0.1:5"},
+        "facts": {
+            "teams": [{"name": "t", "cpus": 1.0, "cpus_max": 2.0, "gpus": 0.0, "gpus_max": 0.0}],
+            "workers": {"report_s": 2.5, "lease_s": 16.0, "cancel_s": 40.0},
+            "state": {"rps": 100.0, "write_rps": 20.0, "value_kb": 8.0, "txn_ops": 20},
+            "cloud": {"rps": 5.0, "list_lag_s": 5.0},
+            "limits": {"sockets": 1000}
+        }
+    })
+}
+
+fn problem(change: impl FnOnce(&mut serde_json::Value)) -> Result<(), String> {
+    let mut value = valid();
+    change(&mut value);
+    settings(&value.to_string()).map(|_| ())
+}
+
+#[test]
+fn settings_with_unknown_fields_are_fine() {
+    assert_eq!(problem(|_| {}), Ok(()));
+    for next in [
+        serde_json::Value::Null,
+        serde_json::json!({}),
+        serde_json::json!({"value_kb": 2.0, "news": 1}),
+        serde_json::json!({"txn_ops": 6, "write_rps": 1e6}),
+    ] {
+        let given = next.clone();
+        assert_eq!(
+            problem(|v| v["facts"]["state"]["next"] = given),
+            Ok(()),
+            "{next}"
+        );
+    }
+}
+
+#[test]
+fn contradictions_are_named_by_field() {
+    type Change = fn(&mut serde_json::Value);
+    let cases: [(&str, Change); 9] = [
+        ("facts.teams.cpus_max", |v| {
+            v["facts"]["teams"][0]["cpus_max"] = (-1.0).into()
+        }),
+        ("facts.teams.gpus", |v| {
+            v["facts"]["teams"][0]["gpus"] = (-1.0).into()
+        }),
+        ("facts.state.next.txn_ops", |v| {
+            v["facts"]["state"]["next"] = serde_json::json!({"txn_ops": 1})
+        }),
+        ("facts.state.next.value_kb", |v| {
+            v["facts"]["state"]["next"] = serde_json::json!({"value_kb": 0.0, "rps": 9.0})
+        }),
+        ("facts.teams.cpus", |v| {
+            v["facts"]["teams"][0]["cpus"] = 3.0.into()
+        }),
+        ("known.host_name", |v| {
+            v["known"][0]["host_name"] = "estiba-0".into()
+        }),
+        ("services.state", |v| {
+            v["services"]["state"] = "nowhere".into()
+        }),
+        ("internal_addr", |v| {
+            v["internal_addr"] = "127.0.0.1:1".into()
+        }),
+        ("facts.workers.lease_s", |v| {
+            v["facts"]["workers"]["lease_s"] = 0.0.into()
+        }),
+    ];
+    for (field, change) in cases {
+        let error = problem(change).expect_err(field);
+        assert!(error.contains(field), "{error}");
+    }
+}
+
+#[test]
+fn operators_settings_refuse_unknown_keys_and_bad_values() {
+    let given = parameters("[placement]\nwindow_s = 60.0\n").expect("valid");
+    assert_eq!(given.window_s, 60.0);
+    assert_eq!(given.start_speed, Parameters::default().start_speed);
+    for bad in [
+        "windows = 1",
+        "[placement]\nwindow = 1.0",
+        "[placement]\nwindow_s = -1.0",
+        "[placement]\nsize_bands_s = [2.0, 1.0]",
+        "not toml",
+    ] {
+        assert!(parameters(bad).is_err(), "{bad}");
+    }
+}
+
+// Guards against a service that does not start where a team has a guarantee and no limit.
+#[test]
+fn a_guarantee_lies_within_a_limit_of_zero_which_is_none() {
+    let no_limit = |v: &mut serde_json::Value| v["facts"]["teams"][0]["cpus_max"] = 0.0.into();
+    assert_eq!(problem(no_limit), Ok(()));
+}
+
+#[test]
+fn fields_that_are_missing_or_of_another_type_are_named_with_their_place() {
+    let team = |field: &'static str, value: serde_json::Value| {
+        problem(move |v| v["facts"]["teams"][0][field] = value).expect_err(field)
+    };
+    for (field, value) in [
+        ("cpus", serde_json::json!("many")),
+        ("cpus_max", serde_json::Value::Null),
+        ("gpus", serde_json::json!([1.0])),
+        ("name", serde_json::json!(7)),
+    ] {
+        let error = team(field, value);
+        let place = format!("facts.teams[0].{field}");
+        assert!(error.contains(&place) && !error.contains('\n'), "{error}");
+    }
+    let error = problem(|v| {
+        v["facts"]["teams"][0]
+            .as_object_mut()
+            .expect("a team")
+            .remove("gpus_max");
+    });
+    let error = error.expect_err("a field is missing");
+    assert!(
+        error.contains("facts.teams[0]") && error.contains("gpus_max"),
+        "{error}"
+    );
+    let trailing = settings(&format!("{} x", valid()));
+    assert!(trailing.is_err(), "something after the settings");
+}
