Jobs that can meet nothing any more come after their equals that can

The story fails with the rule taken out. Work and its rank have a file of their own, stories of the order of service too.

--- a/crates/worksshunt-core/src/allotment/handout.rs
+++ b/crates/worksshunt-core/src/allotment/handout.rs
@@ -13,7 +13,8 @@
 use crate::time::{Budget, Now, Time};
 
 use super::parts::{Down, PartView};
-use super::{Allotment, Out, Work};
+use super::work::Work;
+use super::{Allotment, Out};
 
 /// What a job is served for in a round, in this order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -88,7 +89,7 @@
             .values()
             .filter(|work| work.not_before <= now.steady && work.waiting() > 0)
             .collect();
-        works.sort_by_cached_key(|work| work.rank());
+        works.sort_by_cached_key(|work| work.rank(now.wall_ms));
         let mut starved: Vec<&Work> = works
             .iter()
             .copied()
@@ -99,7 +100,7 @@
         let within = self.within_guarantees();
         let presses = |work: &&Work| self.objectives.guarantee_presses(&work.job, now.wall_ms);
         let mut pressing: Vec<&Work> = works.iter().copied().filter(presses).collect();
-        pressing.sort_by_key(|work| (work.rank().0, !within.contains(&id(work))));
+        pressing.sort_by_key(|work| (work.rank(now.wall_ms).priority, !within.contains(&id(work))));
         let pressing_ids = pressing.iter().map(id).collect();
         let order = |pass, works: &[&Work]| -> Vec<(Pass, JobId)> {
             works.iter().map(|work| (pass, id(work))).collect()
--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/allotment/mod.rs
@@ -8,6 +8,7 @@
 mod handout;
 mod parts;
 mod preempt;
+mod work;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -15,7 +16,6 @@
 use worksshunt_wire::peer::{End, Ended, Phase};
 use worksshunt_wire::settings::Facts;
 use worksshunt_wire::state::Pair;
-use worksshunt_wire::user::Priority;
 use worksshunt_wire::{Attempt, Epoch, JobId, MachineId, NodeName, Revision, TaskId};
 
 use crate::constants::{
@@ -23,7 +23,7 @@
     LEFT_AT_LEAST, REPLICA_BACKOFF_MAX_MS, SILENT_RETURN_LEAST_MS, SILENT_RETURN_REPORTS,
     SPOT_PATIENCE_MS, STANDBY_SHARE, STEADY_REPLICA_MS,
 };
-use crate::jobs::{completions_key, read_completions, Completions, DoneSet, Job, Mirror, DONE};
+use crate::jobs::{completions_key, read_completions, Completions, Job, Mirror, DONE};
 use crate::objectives::Objectives;
 use crate::pages::{page_bytes, PageWrite, Pages};
 use crate::placement::owner;
@@ -36,111 +36,7 @@
 use handout::Round;
 pub use parts::MachineView;
 use parts::{Down, PartView};
-
-/// An open job's tasks.
-#[derive(Debug)]
-struct Work {
-    job: Rc<Job>,
-    /// When its tasks have to start or be done; for ever if nobody says.
-    decides_ms: u64,
-    /// Tasks known to be done, durable or not.
-    done: DoneSet,
-    /// Those of them that are not in the store yet.
-    undurable: BTreeSet<u32>,
-    /// Attempts that may be on a machine or on their way, by task.
-    active: BTreeMap<u32, Vec<Attempt>>,
-    /// How many of those tasks are not done.
-    active_undone: u32,
-    /// Tasks seen running.
-    running: u32,
-    /// Every task below is done or active, so a search for waiting ones starts here.
-    first_waiting: u32,
-    errors: u32,
-    not_before: Time,
-    /// When a task of it was last handed out.
-    served: Option<Time>,
-    /// Since when it has had waiting tasks that no part had room for.
-    stuck_since: Option<Time>,
-}
-
-impl Work {
-    fn new(job: Rc<Job>, objectives: &Objectives) -> Work {
-        Work {
-            decides_ms: objectives.decides_ms(&job).unwrap_or(u64::MAX),
-            done: DoneSet::new(job.spec.tasks),
-            job,
-            undurable: BTreeSet::new(),
-            active: BTreeMap::new(),
-            active_undone: 0,
-            running: 0,
-            first_waiting: 0,
-            errors: 0,
-            not_before: Time::default(),
-            served: None,
-            stuck_since: None,
-        }
-    }
-
-    /// Order of service: by priority, deadline or latest start, age.
-    fn rank(&self) -> (std::cmp::Reverse<Priority>, u64, u64, JobId) {
-        (
-            std::cmp::Reverse(self.job.spec.priority),
-            self.decides_ms,
-            self.job.accepted_ms,
-            self.job.spec.id,
-        )
-    }
-
-    fn waiting(&self) -> u32 {
-        (self.job.spec.tasks - self.done.count()).saturating_sub(self.active_undone)
-    }
-
-    fn next_waiting(&mut self) -> Option<u32> {
-        while self.first_waiting < self.job.spec.tasks {
-            let index = self.first_waiting;
-            if !self.done.contains(index) && !self.active.contains_key(&index) {
-                return Some(index);
-            }
-            self.first_waiting += 1;
-        }
-        None
-    }
-
-    fn activate(&mut self, index: u32, attempt: Attempt) {
-        let attempts = self.active.entry(index).or_default();
-        if attempts.is_empty() && !self.done.contains(index) {
-            self.active_undone += 1;
-        }
-        attempts.push(attempt);
-    }
-
-    fn deactivate(&mut self, index: u32, attempt: Attempt) {
-        let Some(attempts) = self.active.get_mut(&index) else {
-            return;
-        };
-        attempts.retain(|a| *a != attempt);
-        if attempts.is_empty() {
-            self.active.remove(&index);
-            if !self.done.contains(index) {
-                self.active_undone = self.active_undone.saturating_sub(1);
-                self.first_waiting = self.first_waiting.min(index);
-            }
-        }
-    }
-
-    /// Marks a task done; false if it was already.
-    fn finish(&mut self, index: u32) -> bool {
-        let new = self.done.insert(index);
-        if new && self.active.contains_key(&index) {
-            self.active_undone = self.active_undone.saturating_sub(1);
-        }
-        new
-    }
-
-    fn complete(&self) -> bool {
-        self.done.count() == self.job.spec.tasks
-    }
-}
+use work::Work;
 
 /// An attempt that may be on a machine or on its way to one.
 #[derive(Debug)]
@@ -724,7 +620,7 @@
             .values()
             .filter(|work| work.not_before <= now.steady)
             .collect();
-        works.sort_by_cached_key(|work| work.rank());
+        works.sort_by_cached_key(|work| work.rank(now.wall_ms));
         let mut ran: BTreeMap<JobId, (u32, f64)> = BTreeMap::new();
         for out in self.outs.values().filter(|o| o.phase != Phase::Completed) {
             let Some(job) = &out.job else { continue };
--- a/crates/worksshunt-core/src/allotment/preempt.rs
+++ b/crates/worksshunt-core/src/allotment/preempt.rs
@@ -4,8 +4,7 @@
 use std::rc::Rc;
 
 use worksshunt_wire::peer::{MachineUp, Phase};
-use worksshunt_wire::user::Priority;
-use worksshunt_wire::{Attempt, JobId, MachineId};
+use worksshunt_wire::{Attempt, MachineId};
 
 use crate::constants::{PREEMPT_AFTER_MS, REPLICA_LOSS_MS};
 use crate::jobs::Job;
@@ -14,7 +13,8 @@
 use crate::time::{Budget, Now};
 
 use super::parts::Down;
-use super::{Allotment, Work};
+use super::work::{Rank, Work};
+use super::Allotment;
 
 /// What a job may claim of its team's guarantee.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,7 +44,7 @@
 }
 
 /// A job that waits for room, in order of service.
-type Stuck = ((std::cmp::Reverse<Priority>, u64, u64, JobId), Rc<Job>, u32);
+type Stuck = (Rank, Rc<Job>, u32);
 
 impl Allotment {
     /// Stops tasks to make room for waiting ones that have found none for a while: work of lower
@@ -66,7 +66,7 @@
             .jobs
             .values()
             .filter(waits)
-            .map(|work| (work.rank(), Rc::clone(&work.job), work.waiting()))
+            .map(|work| (work.rank(now.wall_ms), Rc::clone(&work.job), work.waiting()))
             .collect();
         if stuck.is_empty() {
             return;
--- /dev/null
+++ b/crates/worksshunt-core/src/allotment/work.rs
@@ -0,0 +1,140 @@
+//! An open job with the state of its tasks.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use worksshunt_wire::user::Priority;
+use worksshunt_wire::{Attempt, JobId};
+
+use crate::jobs::{DoneSet, Job};
+use crate::objectives::Objectives;
+use crate::time::Time;
+
+/// A job's place in the order of service; the least comes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rank {
+    pub(super) priority: Reverse<Priority>,
+    /// Whether waiting tasks can meet nothing any more that is expected of the job. Served before others of
+    /// its priority it would only make them miss theirs too.
+    missed: bool,
+    /// Deadline or latest start.
+    decides_ms: u64,
+    accepted_ms: u64,
+    id: JobId,
+}
+
+/// An open job's tasks.
+#[derive(Debug)]
+pub(super) struct Work {
+    pub(super) job: Rc<Job>,
+    /// When its tasks have to start or be done; never if nobody says.
+    decides_ms: u64,
+    /// After this its waiting tasks can meet nothing that is expected of it; never if nothing is.
+    last_start_ms: u64,
+    /// Tasks known to be done, durable or not.
+    pub(super) done: DoneSet,
+    /// Those of them that are not in the store yet.
+    pub(super) undurable: BTreeSet<u32>,
+    /// Attempts that may be on a machine or on their way, by task.
+    pub(super) active: BTreeMap<u32, Vec<Attempt>>,
+    /// How many of those tasks are not done.
+    active_undone: u32,
+    /// Tasks seen running.
+    pub(super) running: u32,
+    /// Every task below is done or active, so a search for waiting ones starts here.
+    first_waiting: u32,
+    pub(super) errors: u32,
+    pub(super) not_before: Time,
+    /// When a task of it was last handed out.
+    pub(super) served: Option<Time>,
+    /// Since when it has had waiting tasks that no part had room for.
+    pub(super) stuck_since: Option<Time>,
+}
+
+impl Work {
+    /// A job that was accepted, with no task handed out.
+    pub(super) fn new(job: Rc<Job>, objectives: &Objectives) -> Work {
+        Work {
+            last_start_ms: objectives.last_start_ms(&job).unwrap_or(u64::MAX),
+            decides_ms: objectives.decides_ms(&job).unwrap_or(u64::MAX),
+            done: DoneSet::new(job.spec.tasks),
+            job,
+            undurable: BTreeSet::new(),
+            active: BTreeMap::new(),
+            active_undone: 0,
+            running: 0,
+            first_waiting: 0,
+            errors: 0,
+            not_before: Time::default(),
+            served: None,
+            stuck_since: None,
+        }
+    }
+
+    /// Its place in the order of service.
+    pub(super) fn rank(&self, wall_ms: u64) -> Rank {
+        Rank {
+            priority: Reverse(self.job.spec.priority),
+            missed: wall_ms > self.last_start_ms,
+            decides_ms: self.decides_ms,
+            accepted_ms: self.job.accepted_ms,
+            id: self.job.spec.id,
+        }
+    }
+
+    /// How many tasks are neither done nor handed out.
+    pub(super) fn waiting(&self) -> u32 {
+        (self.job.spec.tasks - self.done.count()).saturating_sub(self.active_undone)
+    }
+
+    /// The first task that is neither done nor handed out.
+    pub(super) fn next_waiting(&mut self) -> Option<u32> {
+        while self.first_waiting < self.job.spec.tasks {
+            let index = self.first_waiting;
+            if !self.done.contains(index) && !self.active.contains_key(&index) {
+                return Some(index);
+            }
+            self.first_waiting += 1;
+        }
+        None
+    }
+
+    /// An attempt at a task was handed out.
+    pub(super) fn activate(&mut self, index: u32, attempt: Attempt) {
+        let attempts = self.active.entry(index).or_default();
+        if attempts.is_empty() && !self.done.contains(index) {
+            self.active_undone += 1;
+        }
+        attempts.push(attempt);
+    }
+
+    /// An attempt at a task is certainly gone.
+    pub(super) fn deactivate(&mut self, index: u32, attempt: Attempt) {
+        let Some(attempts) = self.active.get_mut(&index) else {
+            return;
+        };
+        attempts.retain(|a| *a != attempt);
+        if attempts.is_empty() {
+            self.active.remove(&index);
+            if !self.done.contains(index) {
+                self.active_undone = self.active_undone.saturating_sub(1);
+                self.first_waiting = self.first_waiting.min(index);
+            }
+        }
+    }
+
+    /// Marks a task done; false if it was already.
+    pub(super) fn finish(&mut self, index: u32) -> bool {
+        let new = self.done.insert(index);
+        if new && self.active.contains_key(&index) {
+            self.active_undone = self.active_undone.saturating_sub(1);
+        }
+        new
+    }
+
+    /// Whether all tasks are done.
+    pub(super) fn complete(&self) -> bool {
+        self.done.count() == self.job.spec.tasks
+    }
+}
--- a/crates/worksshunt-core/src/objectives.rs
+++ b/crates/worksshunt-core/src/objectives.rs
@@ -95,6 +95,13 @@
         }
     }
 
+    /// The last moment at which a task of the job can start for anything expected of the job to be met; none
+    /// where nothing is expected of it.
+    pub fn last_start_ms(&self, job: &Job) -> Option<u64> {
+        let last_s = self.starts(job).into_iter().max_by(f64::total_cmp)?;
+        Some(job.accepted_ms + (last_s.max(0.0) * 1_000.0) as u64)
+    }
+
     /// Classes whose tasks should start sooner than that.
     pub fn start_within(&self, seconds: f64) -> impl Iterator<Item = &String> {
         let sooner = move |class: &Class| class.start_s.is_some_and(|start| start < seconds);
--- a/crates/worksshunt-core/tests/stories/main.rs
+++ b/crates/worksshunt-core/tests/stories/main.rs
@@ -2,6 +2,7 @@
 
 mod meetings;
 mod mixed;
+mod order;
 mod ordinary;
 mod outage;
 mod rules;
