--- a/crates/worksshunt-core/src/controller/epochs.rs
+++ b/crates/worksshunt-core/src/controller/epochs.rs
@@ -7,13 +7,13 @@
 use worksshunt_wire::user::JobState;
 use worksshunt_wire::{Epoch, JobId};
 
-use crate::allotment::{Allotment, Found, CLAIMS};
 use crate::constants::*;
 use crate::fleet::Fleet;
 use crate::jobs::{final_key, read_cancelled, read_final, Job, MirrorChange, DONE, OPEN};
 use crate::membership::{Finding, Standing};
 use crate::placement::owner;
 use crate::records::{self, Recorded, UnknownForm, RECORDS};
+use crate::scheduler::{Found, Scheduler, CLAIMS};
 use crate::time::{Now, Periodic, Time};
 use crate::users::{not_final, settled, Reply};
 
@@ -51,13 +51,13 @@
             match change {
                 MirrorChange::Opened(id) => {
                     if let (Some(leader), Some(open)) = (&mut self.leader, self.mirror.get(id)) {
-                        leader.allotment.open(id, &open.job);
+                        leader.scheduler.open(id, &open.job);
                     }
                 }
                 MirrorChange::Closed(id) => {
                     self.part.stop_job(id, now);
                     if let Some(leader) = &mut self.leader {
-                        leader.allotment.close(id, now);
+                        leader.scheduler.close(id, now);
                     }
                 }
             }
@@ -482,7 +482,7 @@
             };
             let facts = &self.settings.facts;
             self.leader = Some(Leader {
-                allotment: Allotment::load(now, epoch.number, &names, facts, &self.mirror, &found),
+                scheduler: Scheduler::load(now, epoch.number, &names, facts, &self.mirror, &found),
                 fleet: match load.fleet {
                     Some(fleet) if fleet.epoch() == just_before => fleet.carried_over(epoch.number),
                     _ => Fleet::new(epoch.number, now, &facts.cloud, &facts.workers),
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -13,7 +13,6 @@
 use worksshunt_wire::state::{Change, Txn};
 use worksshunt_wire::{Epoch, JobId, NodeName};
 
-use crate::allotment::Allotment;
 use crate::constants::*;
 use crate::epoch_poll::EpochPoll;
 use crate::fleet::{CloudRequest, Fleet};
@@ -22,6 +21,7 @@
 use crate::membership::{Membership, Standing, CONTROL};
 use crate::placement::Parameters;
 use crate::quota::Quota;
+use crate::scheduler::Scheduler;
 use crate::time::{Bucket, Budget, Now, Periodic, Time};
 use crate::users::{Progress, Question, Reply, Users};
 
@@ -41,7 +41,7 @@
 }
 
 struct Leader {
-    allotment: Allotment,
+    scheduler: Scheduler,
     fleet: Fleet,
 }
 
@@ -478,30 +478,30 @@
         let (Some(leader), Some(catalog)) = (&mut self.leader, &self.catalog) else {
             return;
         };
-        let pressing = self.press_turn.due(t) || leader.allotment.replica_stuck();
-        if pressing && leader.allotment.all_heard() {
+        let pressing = self.press_turn.due(t) || leader.scheduler.replica_stuck();
+        if pressing && leader.scheduler.all_heard() {
             self.press_turn.next = t + PRESS_EVERY_MS;
-            leader.allotment.look_for_spot(t);
-            leader.allotment.take_back(t);
-            leader.allotment.claim(t);
+            leader.scheduler.look_for_spot(t);
+            leader.scheduler.take_back(t);
+            leader.scheduler.claim(t);
             // Nothing can be launched in the place of what is stopped before it can be recorded.
             if !store_silent {
-                leader.allotment.preempt(now, budget);
+                leader.scheduler.preempt(now, budget);
             }
             if tracing::enabled!(tracing::Level::DEBUG) {
-                leader.allotment.log_load();
+                leader.scheduler.log_load();
             }
             // What time alone brings about: jobs that may be tried again, or have waited too long.
-            leader.allotment.stir();
+            leader.scheduler.stir();
         }
-        leader.allotment.round(now, budget);
+        leader.scheduler.round(now, budget);
         if self.list_turn.due(t) && self.cloud_calls.available(t) > 0 {
             self.cloud_calls.take(1 + leader.fleet.size() / CLOUD_PAGE);
             self.list_turn.sent(t, LIST_EVERY_MS);
             out.push(Action::Cloud(CloudRequest::List));
         }
         let may_call = self.cloud_calls.available(t) > 0;
-        if self.fleet_turn.due(t) && may_call && leader.allotment.all_heard() {
+        if self.fleet_turn.due(t) && may_call && leader.scheduler.all_heard() {
             self.fleet_turn.next = t + FLEET_EVERY_MS;
             if self.catalog_kept.is_none() {
                 let txn = Txn {
@@ -515,12 +515,12 @@
                 let tag = StoreTag::KeepCatalog(catalog.clone());
                 store(out, tag, StoreOp::Txn(txn));
             }
-            leader.fleet.heard(t, leader.allotment.machines());
-            let demand = leader.allotment.demand(now);
-            let forecast = leader.allotment.forecast(now, catalog.least_boot_s());
-            let machines = leader.allotment.machines();
+            leader.fleet.heard(t, leader.scheduler.machines());
+            let demand = leader.scheduler.demand(now);
+            let forecast = leader.scheduler.forecast(now, catalog.least_boot_s());
+            let machines = leader.scheduler.machines();
             let requests = leader.fleet.plan(t, catalog, machines, &demand, &forecast);
-            leader.allotment.drain(leader.fleet.drains());
+            leader.scheduler.drain(leader.fleet.drains());
             for request in requests {
                 self.cloud_calls.take(1);
                 out.push(Action::Cloud(request));
@@ -535,11 +535,11 @@
         }
         let leader = self.leader.as_mut()?;
         let from = up.from.clone();
-        leader.allotment.drain(leader.fleet.drains());
-        leader.allotment.sync(now.steady, up);
-        leader.allotment.round(now, budget);
+        leader.scheduler.drain(leader.fleet.drains());
+        leader.scheduler.sync(now.steady, up);
+        leader.scheduler.round(now, budget);
         let gone = leader.fleet.gone();
-        Some(leader.allotment.answer(now.steady, &from, &gone))
+        Some(leader.scheduler.answer(now.steady, &from, &gone))
     }
 
     fn sync_turn(&mut self, now: Now, budget: &Budget, out: &mut Vec<Action>) {
--- a/crates/worksshunt-core/src/controller/writes.rs
+++ b/crates/worksshunt-core/src/controller/writes.rs
@@ -10,11 +10,11 @@
 use worksshunt_wire::state::{Change, Condition, Txn};
 use worksshunt_wire::{JobId, MachineId, Revision};
 
-use crate::allotment::{claim_key, Due};
 use crate::constants::*;
 use crate::jobs::{final_key, final_value, is_intake, job_of, open_key};
 use crate::membership::EPOCH;
 use crate::pages::PageWrite;
+use crate::scheduler::{claim_key, Due};
 use crate::time::{Bucket, Periodic, Time};
 use crate::users::Ask;
 
@@ -245,7 +245,7 @@
     fn pages_txn(&mut self, now: Time, txn: &mut Txn) {
         let most = self.lanes.pages_at_once(Lane::Pages, now);
         if let Some(leader) = &mut self.leader {
-            add_pages(txn, leader.allotment.pages_write(now, most));
+            add_pages(txn, leader.scheduler.pages_write(now, most));
         }
     }
 
@@ -259,7 +259,7 @@
         let Some(leader) = &mut self.leader else {
             return;
         };
-        let dues: Vec<Due> = leader.allotment.due().take(most).cloned().collect();
+        let dues: Vec<Due> = leader.scheduler.due().take(most).cloned().collect();
         for due in dues {
             if txn.changes.len() + 2 > most {
                 break;
@@ -268,7 +268,7 @@
                 Due::Finish(id) => {
                     // The mirror knows no more of it: it is over already.
                     let Some(open) = self.mirror.get(id) else {
-                        leader.allotment.not_finished(id);
+                        leader.scheduler.not_finished(id);
                         continue;
                     };
                     txn.conditions.push(Condition {
@@ -285,7 +285,7 @@
                 }
                 Due::Claim(machine) => {
                     let key = claim_key(&machine);
-                    let value = leader.allotment.claim_value(&machine);
+                    let value = leader.scheduler.claim_value(&machine);
                     let held = value.is_some();
                     txn.changes.push(match value {
                         Some(value) => {
@@ -434,7 +434,7 @@
             }
             (Lane::Pages, Outcome::Applied(revision)) => {
                 if let Some(leader) = &mut self.leader {
-                    leader.allotment.pages_written(revision);
+                    leader.scheduler.pages_written(revision);
                 }
             }
             (Lane::Ends, Outcome::Applied(_)) => self.ended(now),
@@ -445,7 +445,7 @@
                 for end in ending {
                     if let (End::Finish(id), Some(leader)) = (end, &mut self.leader) {
                         if failed.contains(&open_key(id)) {
-                            leader.allotment.not_finished(id);
+                            leader.scheduler.not_finished(id);
                         }
                     }
                 }
@@ -474,10 +474,10 @@
                 End::Finish(id) => {
                     tracing::debug!(job = %id, "job done");
                     self.mirror.remember_final(id, JobState::Done);
-                    leader.allotment.close(id, now);
+                    leader.scheduler.close(id, now);
                 }
-                End::Claim(machine, held) => leader.allotment.claim_written(&machine, held),
-                End::Remove(key) => leader.allotment.removed(&key),
+                End::Claim(machine, held) => leader.scheduler.claim_written(&machine, held),
+                End::Remove(key) => leader.scheduler.removed(&key),
             }
         }
     }
@@ -490,7 +490,7 @@
         let of_leader = self
             .leader
             .iter()
-            .flat_map(|l| l.allotment.uncertain_pages());
+            .flat_map(|l| l.scheduler.uncertain_pages());
         if let Some(key) = self
             .part
             .uncertain_records()
@@ -514,7 +514,7 @@
         self.lanes.refresh.retry(now, 0);
         self.part.record_found(key, version);
         if let Some(leader) = &mut self.leader {
-            leader.allotment.page_found(key, version);
+            leader.scheduler.page_found(key, version);
         }
     }
 
--- a/crates/worksshunt-core/src/fleet/mod.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -12,13 +12,13 @@
 use worksshunt_wire::settings::{CloudLimits, Workers};
 use worksshunt_wire::{Epoch, MachineId, TeamName};
 
-use crate::allotment::{Demand, Expected, Forecast, MachineView};
 use crate::constants::{
     BOOT_EXTRA_S, BOOT_FACTOR, IDLE_BOOTS, IDLE_LEAST_MS, RENTALS_AT_ONCE, RENT_MOST,
     RENT_REFUSED_MS, RESERVE_BOOTS, RETURN_MOST, ROUNDING, SILENT_RETURN_LEASES, UNHEARD_REPORTS,
 };
 use crate::jobs::Job;
 use crate::placement::Room;
+use crate::scheduler::{Demand, Expected, Forecast, MachineView};
 use crate::time::Time;
 
 use listing::Listings;
--- a/crates/worksshunt-core/src/lib.rs
+++ b/crates/worksshunt-core/src/lib.rs
@@ -3,7 +3,6 @@
 //! Events and the time go in, actions come out. Nothing in here does I/O, reads a clock of its own
 //! or draws random numbers.
 
-pub mod allotment;
 pub mod constants;
 pub mod controller;
 pub mod epoch_poll;
@@ -16,5 +15,6 @@
 pub mod placement;
 pub mod quota;
 pub mod records;
+pub mod scheduler;
 pub mod time;
 pub mod users;
--- a/crates/worksshunt-core/src/allotment/claims.rs
+++ b/crates/worksshunt-core/src/scheduler/claims.rs
@@ -12,7 +12,7 @@
 use crate::jobs::Job;
 use crate::time::Time;
 
-use super::{Allotment, Due};
+use super::{Due, Scheduler};
 
 /// Prefix of the leader's claims on machines.
 pub const CLAIMS: &str = "k/";
@@ -38,7 +38,7 @@
     state: ClaimState,
 }
 
-impl Allotment {
+impl Scheduler {
     /// Claims machines for jobs whose next task has found room in no part for a while: the leader
     /// takes them out of their parts until the task fits.
     pub fn claim(&mut self, now: Time) {
--- a/crates/worksshunt-core/src/allotment/handout.rs
+++ b/crates/worksshunt-core/src/scheduler/handout.rs
@@ -14,7 +14,7 @@
 
 use super::parts::{Down, PartView};
 use super::work::Work;
-use super::{Allotment, Out};
+use super::{Out, Scheduler};
 
 /// What a job is served for in a round, in this order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -82,7 +82,7 @@
     }
 }
 
-impl Allotment {
+impl Scheduler {
     fn sort_jobs(&mut self, now: Now) {
         let mut works: Vec<&Work> = self
             .jobs
--- a/crates/worksshunt-core/src/allotment/mod.rs
+++ b/crates/worksshunt-core/src/scheduler/mod.rs
@@ -142,7 +142,7 @@
 
 /// The leader's state.
 #[derive(Debug)]
-pub struct Allotment {
+pub struct Scheduler {
     epoch: Epoch,
     attempts: u64,
     quota: Quota,
@@ -189,7 +189,7 @@
     pub cancelled: BTreeMap<JobId, Rc<Job>>,
 }
 
-impl Allotment {
+impl Scheduler {
     /// Takes over at the start of an epoch, from what is in the store.
     pub fn load(
         now: Time,
@@ -198,8 +198,8 @@
         facts: &Facts,
         mirror: &Mirror,
         found: &Found,
-    ) -> Allotment {
-        let mut this = Allotment {
+    ) -> Scheduler {
+        let mut this = Scheduler {
             epoch,
             attempts: 0,
             quota: Quota::new(&facts.teams),
--- a/crates/worksshunt-core/src/allotment/parts.rs
+++ b/crates/worksshunt-core/src/scheduler/parts.rs
@@ -11,7 +11,7 @@
 use crate::placement::Room;
 use crate::time::Time;
 
-use super::{Allotment, Out};
+use super::{Out, Scheduler};
 
 /// One machine, with the room left after what was handed out and not placed yet.
 #[derive(Debug)]
@@ -144,7 +144,7 @@
     }
 }
 
-impl Allotment {
+impl Scheduler {
     /// Takes in what has changed in a part. A message that a later one has overtaken is ignored.
     pub fn sync(&mut self, now: Time, up: SyncUp) {
         let Some(part) = self.parts.get_mut(&up.from) else {
--- a/crates/worksshunt-core/src/allotment/preempt.rs
+++ b/crates/worksshunt-core/src/scheduler/preempt.rs
@@ -14,7 +14,7 @@
 
 use super::parts::Down;
 use super::work::{Rank, Work};
-use super::Allotment;
+use super::Scheduler;
 
 /// What a job may claim of its team's guarantee.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,7 +46,7 @@
 /// A job that waits for room, in order of service.
 type Stuck = (Rank, Rc<Job>, u32);
 
-impl Allotment {
+impl Scheduler {
     /// Stops tasks to make room for waiting ones that have found none for a while: work of lower
     /// priority, and work that another team runs beyond its guarantee for a team within its own.
     /// What would be served before the waiting task anyway is never stopped for it, so nothing is
