Loading asks for ends as one step; one sum for what a cancellation has beyond a lease

Found on an earlier re-reading: a step carried a job's id that only its answers need, two functions reckoned the same sum, and guarantees were worked out in rounds without use.

--- a/crates/worksshunt-core/src/controller/epochs.rs
+++ b/crates/worksshunt-core/src/controller/epochs.rs
@@ -156,6 +156,12 @@
                     self.load_answer((t, sent), step, reply, out);
                 }
             }
+            StoreTag::LoadEnd(epoch, id) => {
+                let loading = self.membership.state() == MemberState::Loading;
+                if loading && epoch == self.membership.token() {
+                    self.end_answer(t, id, reply, out);
+                }
+            }
             StoreTag::Write(lane, epoch, number) => {
                 if epoch == self.membership.token() {
                     self.lane_answer((lane, number), t, sent, reply);
@@ -307,7 +313,7 @@
                 self.load_retry.retry(now, STORE_RETRY_MS);
                 return;
             }
-            (Loading::Final(_), _) => {
+            (Loading::Ends, _) => {
                 self.load_retry.sent(now, 0);
                 self.ask_for_ends(out);
                 return;
@@ -324,7 +330,7 @@
                 break;
             };
             self.load.asked.insert(id);
-            let tag = StoreTag::Load(self.membership.token(), Loading::Final(id));
+            let tag = StoreTag::LoadEnd(self.membership.token(), id);
             store(out, tag, StoreOp::Get(final_key(id)));
         }
     }
@@ -387,9 +393,6 @@
         reply: StoreReply,
         out: &mut Vec<Action>,
     ) {
-        if let Loading::Final(id) = step {
-            return self.end_answer(now, id, reply, out);
-        }
         if self.load.step != Some(step) {
             return;
         }
@@ -429,10 +432,10 @@
                 if self.membership.leads() {
                     self.load.to_ask = self.ends_to_ask_for();
                 }
-                match self.load.to_ask.front() {
-                    Some(first) => Loading::Final(*first),
-                    None => return self.finish_loading(now),
+                if self.load.to_ask.is_empty() {
+                    return self.finish_loading(now);
                 }
+                Loading::Ends
             }
             (Loading::Mirror, StoreReply::TooOld) => {
                 self.mirror.outdated();
--- a/crates/worksshunt-core/src/controller/events.rs
+++ b/crates/worksshunt-core/src/controller/events.rs
@@ -79,6 +79,8 @@
     CatchUp,
     /// Records at the start of an epoch.
     Load(Epoch, Loading),
+    /// How a job on record has ended, at the start of an epoch.
+    LoadEnd(Epoch, JobId),
     /// A conditional write of an epoch, by its number in its lane.
     Write(Lane, Epoch, u64),
     /// A page whose version has become uncertain.
@@ -121,8 +123,8 @@
     Claims,
     /// The open jobs, read after the records: a job on a record but not open is over.
     Mirror,
-    /// How one that is over has ended, and what its tasks use (leader).
-    Final(JobId),
+    /// How jobs on record that are over have ended, and what their tasks use (leader).
+    Ends,
 }
 
 /// The cloud's answer.
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -580,21 +580,23 @@
     }
 }
 
+/// What a cancellation has beyond the lease that was renewed last, ms; none if the lease takes all of it.
+fn cancellation_slack_ms(workers: &Workers) -> Option<u64> {
+    let cancel_ms = (workers.cancel_s * 1_000.0) as u64;
+    cancel_ms.checked_sub(lease_bound_ms(workers) + LEASE_MARGIN_MS)
+}
+
 /// How long a controller may act on what it last read of the open jobs, ms. A task of a job whose cancellation
 /// was confirmed elsewhere since lives as long, and then as long as the lease that was renewed last; that
 /// together is what a cancellation has. Where a lease leaves less than an epoch's authority, that is taken, and
 /// the settings are warned of ([`cancels_in_time`]).
 fn knows_ms(workers: &Workers) -> u64 {
-    let cancel_ms = (workers.cancel_s * 1_000.0) as u64;
-    cancel_ms
-        .saturating_sub(lease_bound_ms(workers) + LEASE_MARGIN_MS)
-        .max(AUTHORITY_MS)
+    cancellation_slack_ms(workers).map_or(AUTHORITY_MS, |slack| slack.max(AUTHORITY_MS))
 }
 
 /// Whether a lease leaves cancellations the time in which every controller that acts has heard of them.
 fn cancels_in_time(workers: &Workers) -> bool {
-    let cancel_ms = (workers.cancel_s * 1_000.0) as u64;
-    cancel_ms >= lease_bound_ms(workers) + LEASE_MARGIN_MS + AUTHORITY_MS
+    cancellation_slack_ms(workers).is_some_and(|slack| slack >= AUTHORITY_MS)
 }
 
 /// How long a watch of the open jobs waits for a change.
--- a/crates/worksshunt-core/src/scheduler/handout.rs
+++ b/crates/worksshunt-core/src/scheduler/handout.rs
@@ -97,10 +97,13 @@
             .collect();
         starved.sort_by_key(|work| work.job.accepted_ms);
         let id = |work: &&Work| work.job.spec.id;
-        let within = self.within_guarantees();
         let presses = |work: &&Work| self.objectives.guarantee_presses(&work.job, now.wall_ms);
         let mut pressing: Vec<&Work> = works.iter().copied().filter(presses).collect();
-        pressing.sort_by_key(|work| (work.rank(now.wall_ms).priority, !within.contains(&id(work))));
+        if !pressing.is_empty() {
+            let within = self.within_guarantees();
+            pressing
+                .sort_by_key(|work| (work.rank(now.wall_ms).priority, !within.contains(&id(work))));
+        }
         let pressing_ids = pressing.iter().map(id).collect();
         let order = |pass, works: &[&Work]| -> Vec<(Pass, JobId)> {
             works.iter().map(|work| (pass, id(work))).collect()
@@ -331,11 +334,10 @@
         let all: BTreeSet<String> = self.machines().map(|m| m.up.zone.clone()).collect();
         Some(
             all.into_iter()
-                .map(|zone| {
+                .filter_map(|zone| {
                     let left = bounds.left(&zone);
-                    (zone, left)
+                    (left > 0).then_some((zone, left))
                 })
-                .filter(|(_, left)| *left > 0)
                 .collect(),
         )
     }
