--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -2,15 +2,16 @@
 
 mod epochs;
 mod events;
+mod leading;
+mod outage;
 mod requests;
 mod writes;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 
 use worksshunt_wire::cloud::Catalog;
-use worksshunt_wire::peer::{KnownEpoch, PeerAnswer, PeerRequest, SyncDown, SyncUp};
+use worksshunt_wire::peer::{PeerAnswer, PeerRequest};
 use worksshunt_wire::settings::{Settings, Workers};
-use worksshunt_wire::state::{Change, Txn};
 use worksshunt_wire::{Epoch, JobId, NodeName};
 
 use crate::constants::*;
@@ -272,71 +273,6 @@
         }
     }
 
-    /// A controller that alone has lost the state service should get no users; when all have lost
-    /// it, taking them all out of service helps nobody, since coming back is slow. One that has lost
-    /// its peers as well cannot know, and is unhealthy.
-    fn health(&self, now: Time) -> Reply {
-        let silent_ms = now.since(self.store_heard);
-        let lately = |word: Option<Time>| word.is_some_and(|at| now.since(at) < STORE_WORD_MS);
-        let store = silent_ms < STORE_DOUBT_MS
-            || (!lately(self.peer_well)
-                && (silent_ms < HEALTH_STORE_MS || lately(self.peer_unwell)));
-        if self.mirror.loaded() && self.catalog.is_some() && store {
-            Reply::json(200, &serde_json::json!({ "healthy": true }))
-        } else {
-            Reply::later("not ready")
-        }
-    }
-
-    /// Asks the peers when the state service is silent here.
-    fn doubt_turn(&mut self, now: Time, out: &mut Vec<Action>) {
-        if now.since(self.store_heard) >= STORE_DOUBT_MS && self.doubt_turn.due(now) {
-            self.doubt_turn.next = now + STORE_ASK_MS;
-            for peer in &self.settings.known {
-                let to = peer.host_name.clone();
-                out.push(Action::Peer(to, PeerRequest::StoreHealth));
-            }
-            self.poll_epoch(now, out);
-        }
-    }
-
-    /// Asks all other controllers whether the epoch is still the newest that they know of. While the state
-    /// service answers nobody this confirms it as well as a read would.
-    fn poll_epoch(&mut self, now: Time, out: &mut Vec<Action>) {
-        if self.membership.state() != MemberState::Serving {
-            return;
-        }
-        let others: BTreeSet<NodeName> = self
-            .settings
-            .known
-            .iter()
-            .map(|peer| peer.host_name.clone())
-            .filter(|name| name != self.membership.me())
-            .collect();
-        let poll = self
-            .epoch_poll
-            .begin(now, self.membership.token(), others.clone());
-        for peer in others {
-            out.push(Action::Peer(peer, PeerRequest::KnownEpoch { poll }));
-        }
-    }
-
-    /// What this controller knows of the epoch, for a peer that asks.
-    fn known_epoch(&self, now: Time, poll: u64) -> KnownEpoch {
-        KnownEpoch {
-            poll,
-            epoch: self.membership.token(),
-            state_service_answers: now.since(self.store_heard) < STORE_DOUBT_MS,
-        }
-    }
-
-    fn epoch_poll_answer(&mut self, from: &NodeName, known: &KnownEpoch) {
-        self.epoch_poll.answered(from, known);
-        if let Some(sent) = self.epoch_poll.confirmed(self.membership.token()) {
-            self.membership.confirmed(sent);
-        }
-    }
-
     // --- time -----------------------------------------------------------------------------------
 
     fn tick(&mut self, now: Now, budget: &Budget, out: &mut Vec<Action>) {
@@ -466,118 +402,6 @@
             _ => {}
         }
     }
-
-    // --- leader and owners ----------------------------------------------------------------------
-
-    fn lead(&mut self, now: Now, budget: &Budget, out: &mut Vec<Action>) {
-        let t = now.steady;
-        if !self.membership.has_authority(t) {
-            return;
-        }
-        let store_silent = self.store_silent(t);
-        let (Some(leader), Some(catalog)) = (&mut self.leader, &self.catalog) else {
-            return;
-        };
-        let pressing = self.press_turn.due(t) || leader.scheduler.replica_stuck();
-        if pressing && leader.scheduler.all_heard() {
-            self.press_turn.next = t + PRESS_EVERY_MS;
-            leader.scheduler.look_for_spot(t);
-            leader.scheduler.take_back(t);
-            leader.scheduler.claim(t);
-            // Nothing can be launched in the place of what is stopped before it can be recorded.
-            if !store_silent {
-                leader.scheduler.preempt(now, budget);
-            }
-            if tracing::enabled!(tracing::Level::DEBUG) {
-                leader.scheduler.log_load();
-            }
-            // What time alone brings about: jobs that may be tried again, or have waited too long.
-            leader.scheduler.stir();
-        }
-        leader.scheduler.round(now, budget);
-        if self.list_turn.due(t) && self.cloud_calls.available(t) > 0 {
-            self.cloud_calls.take(1 + leader.fleet.size() / CLOUD_PAGE);
-            self.list_turn.sent(t, LIST_EVERY_MS);
-            out.push(Action::Cloud(CloudRequest::List));
-        }
-        let may_call = self.cloud_calls.available(t) > 0;
-        if self.fleet_turn.due(t) && may_call && leader.scheduler.all_heard() {
-            self.fleet_turn.next = t + FLEET_EVERY_MS;
-            if self.catalog_kept.is_none() {
-                let txn = Txn {
-                    conditions: self.membership.condition().into_iter().collect(),
-                    changes: vec![Change::Put {
-                        key: CATALOG_KEY.to_owned(),
-                        value: serde_json::json!(catalog),
-                        lease: None,
-                    }],
-                };
-                let tag = StoreTag::KeepCatalog(catalog.clone());
-                store(out, tag, StoreOp::Txn(txn));
-            }
-            leader.fleet.heard(t, leader.scheduler.machines());
-            let demand = leader.scheduler.demand(now);
-            let forecast = leader.scheduler.forecast(now, catalog.least_boot_s());
-            let machines = leader.scheduler.machines();
-            let requests = leader.fleet.plan(t, catalog, machines, &demand, &forecast);
-            leader.scheduler.drain(leader.fleet.drains());
-            for request in requests {
-                self.cloud_calls.take(1);
-                out.push(Action::Cloud(request));
-            }
-        }
-    }
-
-    /// Takes in a part's changes as the leader; none if it does not lead the part's epoch.
-    fn lead_sync(&mut self, now: Now, up: SyncUp, budget: &Budget) -> Option<SyncDown> {
-        if up.epoch != self.membership.token() || !self.membership.has_authority(now.steady) {
-            return None;
-        }
-        let leader = self.leader.as_mut()?;
-        let from = up.from.clone();
-        leader.scheduler.drain(leader.fleet.drains());
-        leader.scheduler.sync(now.steady, up);
-        leader.scheduler.round(now, budget);
-        let gone = leader.fleet.gone();
-        Some(leader.scheduler.answer(now.steady, &from, &gone))
-    }
-
-    fn sync_turn(&mut self, now: Now, budget: &Budget, out: &mut Vec<Action>) {
-        let t = now.steady;
-        let every_ms = if self.part.changed() {
-            SYNC_PRESSING_MS
-        } else {
-            SYNC_EVERY_MS
-        };
-        if self.sync_turn.in_flight || t.since(self.sync_last) < every_ms {
-            return;
-        }
-        let Some(leader) = self.membership.epoch().map(|e| e.leader.name.clone()) else {
-            return;
-        };
-        self.sync_last = t;
-        let me = self.membership.me().clone();
-        let up = self.part.sync_up(t, self.membership.token(), &me);
-        if self.membership.leads() {
-            match self.lead_sync(now, up, budget) {
-                Some(down) => self.apply_sync(t, down),
-                None => self.part.unanswered(),
-            }
-        } else {
-            self.sync_turn.in_flight = true;
-            out.push(Action::Peer(leader, PeerRequest::Sync(up)));
-        }
-    }
-
-    fn apply_sync(&mut self, now: Time, down: SyncDown) {
-        self.part.apply(&down, now);
-        if let Some(progress) = down.progress {
-            self.progress = progress
-                .into_iter()
-                .map(|(id, done, running)| (id, (done, running)))
-                .collect::<BTreeMap<_, _>>();
-        }
-    }
 }
 
 /// What a cancellation has beyond the lease that was renewed last, ms; none if the lease takes all of it.
--- /dev/null
+++ b/crates/worksshunt-core/tests/scenarios/cluster/controllers.rs
@@ -0,0 +1,95 @@
+//! The controllers of the cluster: their starts, ends and pauses.
+
+use worksshunt_core::controller::{Controller, Event};
+use worksshunt_core::placement::Parameters;
+use worksshunt_core::time::{Now, Time};
+
+use super::*;
+
+impl Cluster {
+    /// Starts a controller, ending its former life if there is one.
+    pub fn start(&mut self, node: usize) {
+        self.lives += 1;
+        self.rules.keep(&self.settings[node]);
+        self.frozen.remove(&node);
+        self.nodes[node] = Some(Node {
+            controller: Controller::new(self.settings[node].clone(), Parameters::default()),
+            life: self.lives,
+            started: self.now,
+        });
+        self.at(self.now, Happening::Tick(node, self.lives));
+    }
+
+    /// Ends a controller without a word.
+    pub fn crash(&mut self, node: usize) {
+        self.nodes[node] = None;
+        self.frozen.remove(&node);
+    }
+
+    /// Ends a controller and starts it again after so long.
+    pub fn bounce(&mut self, node: usize, ms: u64) {
+        self.crash(node);
+        self.later(ms, move |cluster| cluster.start(node));
+    }
+
+    /// A controller stands still for so long, in the middle of what it does next.
+    pub fn freeze(&mut self, node: usize, ms: u64) {
+        self.frozen.entry(node).or_default();
+        self.later(ms, move |cluster| {
+            let Some(frozen) = cluster.frozen.remove(&node) else {
+                return;
+            };
+            cluster.effect("freeze");
+            if let Some((life, steady, actions)) = frozen.decided {
+                for action in actions {
+                    cluster.perform(node, life, steady, action);
+                }
+            }
+            for (life, event) in frozen.came {
+                cluster.dispatch(node, life, event);
+            }
+        });
+    }
+
+    /// Whether a controller is there.
+    pub fn is_up(&self, node: usize) -> bool {
+        self.nodes[node].is_some()
+    }
+
+    /// How many machines report to a controller.
+    pub fn reporting_to(&self, node: usize) -> usize {
+        self.workers.values().filter(|w| w.node == node).count()
+    }
+
+    /// The controller that leads by the store's word.
+    pub fn leader(&self) -> usize {
+        let (epoch, _, _) = &self.store.keys["c/epoch"];
+        let name = epoch["leader"]["name"].as_str().expect("a name");
+        name[1..].parse().expect("a number")
+    }
+
+    pub(super) fn dispatch(&mut self, node: usize, life: u64, event: Event) {
+        let now = self.now;
+        let Some(state) = self.nodes[node].as_mut().filter(|n| n.life == life) else {
+            return;
+        };
+        let frozen = self.frozen.get_mut(&node);
+        if let Some(frozen) = frozen.filter(|frozen| frozen.decided.is_some()) {
+            frozen.came.push((life, event));
+            return;
+        }
+        let steady = Time(now - state.started);
+        let at = Now {
+            steady,
+            wall_ms: WALL_MS + now,
+        };
+        let actions = state.controller.handle(at, event, &|| steady);
+        if let Some(frozen) = self.frozen.get_mut(&node) {
+            frozen.decided = Some((life, steady, actions));
+            return;
+        }
+        for action in actions {
+            self.perform(node, life, steady, action);
+        }
+    }
+}
--- /dev/null
+++ b/crates/worksshunt-core/tests/scenarios/cluster/inspection.rs
@@ -0,0 +1,136 @@
+//! What a scenario can look up in the cluster, or put there.
+
+use std::collections::BTreeSet;
+
+use serde_json::{json, Value};
+use worksshunt_core::controller::StoreOp;
+use worksshunt_wire::state::{Change, Txn};
+use worksshunt_wire::worker::TaskState;
+use worksshunt_wire::{JobId, MachineId, TaskId};
+
+use super::*;
+
+impl Cluster {
+    /// A key's value in the store.
+    pub fn stored(&self, key: &str) -> Option<&Value> {
+        self.store.keys.get(key).map(|(value, _, _)| value)
+    }
+
+    /// Puts a value into the store, as somebody else would.
+    pub fn put(&mut self, key: &str, value: Value) {
+        let change = Change::Put {
+            key: key.to_owned(),
+            value,
+            lease: None,
+        };
+        let txn = Txn {
+            conditions: Vec::new(),
+            changes: vec![change],
+        };
+        self.store.apply(self.now, &StoreOp::Txn(txn));
+        self.wake_watches();
+    }
+
+    /// Removes a key from the store.
+    pub fn remove(&mut self, key: &str) {
+        let key = key.to_owned();
+        let txn = Txn {
+            conditions: Vec::new(),
+            changes: vec![Change::Delete { key }],
+        };
+        self.store.apply(self.now, &StoreOp::Txn(txn));
+        self.wake_watches();
+    }
+
+    /// Puts a final state into the store, as of a job long over.
+    pub fn put_final(&mut self, id: u64) {
+        self.put(&format!("f/{}", JobId(id)), json!({ "state": "done" }));
+    }
+
+    /// The epoch's number by the store's word.
+    pub fn epoch(&self) -> u64 {
+        self.stored("c/epoch")
+            .and_then(|e| e["number"].as_u64())
+            .unwrap_or(0)
+    }
+
+    /// How many attempts were launched on a machine, whether or not it heard of them.
+    pub fn launches_on(&self, id: &MachineId) -> usize {
+        self.launched
+            .values()
+            .filter(|launch| launch.1 == *id)
+            .count()
+    }
+
+    /// How many direct orders were sent to a machine.
+    pub fn orders_to(&self, id: &MachineId) -> usize {
+        self.orders_sent.iter().filter(|to| *to == id).count()
+    }
+
+    /// The store's revision.
+    pub fn revision(&self) -> u64 {
+        self.store.revision
+    }
+
+    /// The store's keys that begin so.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let keys = self.store.keys.keys();
+        keys.filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
+    /// Whether all tasks of the job have completed.
+    pub fn all_done(&self, id: u64, tasks: u32) -> bool {
+        (0..tasks).all(|index| {
+            let job = JobId(id);
+            self.rules.has_completed(TaskId { job, index })
+        })
+    }
+
+    /// Tasks on machines now.
+    pub fn running(&self) -> Vec<TaskId> {
+        self.on_machines().map(|(_, task)| task.task).collect()
+    }
+
+    /// Whether tasks are on a machine.
+    pub fn busy(&self, id: &MachineId) -> bool {
+        self.on_machines().any(|(machine, _)| machine == id)
+    }
+
+    /// The session that a machine's worker is in; 0 if it is gone.
+    pub fn session(&self, id: &MachineId) -> u64 {
+        self.workers.get(id).map_or(0, |worker| worker.session)
+    }
+
+    /// Jobs with tasks on a machine.
+    pub fn jobs_on(&self, id: &MachineId) -> BTreeSet<JobId> {
+        let here = self.on_machines().filter(|(machine, _)| *machine == id);
+        here.map(|(_, task)| task.task.job).collect()
+    }
+
+    /// Tasks on machines; those of a worker whose lease is over are dead, hung or not.
+    pub(super) fn on_machines(&self) -> impl Iterator<Item = (&MachineId, &Task)> {
+        let leased = |worker: &Worker| self.now <= worker.last_answered + LEASE_MS;
+        self.workers.iter().flat_map(move |(id, worker)| {
+            let tasks = worker.tasks.values().filter(move |_| leased(worker));
+            tasks
+                .filter(|t| matches!(t.state, TaskState::Running | TaskState::Saving))
+                .map(move |t| (id, t))
+        })
+    }
+
+    /// What is on machines, as the rules see it.
+    pub(super) fn seen(&self) -> Vec<Seen<'_>> {
+        let seen = |(machine, task): (_, &Task)| {
+            let worker: &Worker = &self.workers[machine];
+            Seen {
+                task: task.task,
+                machine,
+                zone: &worker.zone,
+                spot: worker.spot,
+            }
+        };
+        self.on_machines().map(seen).collect()
+    }
+}
--- a/crates/worksshunt-core/tests/scenarios/cluster/mod.rs
+++ b/crates/worksshunt-core/tests/scenarios/cluster/mod.rs
@@ -5,27 +5,27 @@
 //! is drawn from the cluster's seed.
 
 mod cloud;
+mod controllers;
 mod fixtures;
+mod inspection;
+mod network;
 pub mod rules;
 mod state_service;
 mod troubles;
 mod users;
 mod workers;
 
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap};
 
-use serde_json::{json, Value};
-use worksshunt_core::constants::{SYNC_DEADLINE_MS, TICK_MS};
 use worksshunt_core::controller::{Action, Controller, Event, StoreOp, StoreReply, StoreTag};
 use worksshunt_core::fleet::CloudRequest;
-use worksshunt_core::machines::{DirectOrders, OrdersReply};
-use worksshunt_core::placement::Parameters;
-use worksshunt_core::time::{Now, Time};
+use worksshunt_core::machines::DirectOrders;
+use worksshunt_core::time::Time;
 use worksshunt_core::users::{Reply, RequestId};
 use worksshunt_wire::cloud::MachineNames;
-use worksshunt_wire::peer::{PeerAnswer, PeerRequest};
+use worksshunt_wire::peer::PeerRequest;
 use worksshunt_wire::settings::Settings;
-use worksshunt_wire::state::{Change, Txn};
+use worksshunt_wire::state::Txn;
 use worksshunt_wire::user::{JobKind, JobSpec};
 use worksshunt_wire::worker::{Command, Report, TaskState};
 use worksshunt_wire::{Attempt, JobId, MachineId, Revision, TaskId};
@@ -257,72 +257,6 @@
         self.queue.push(Entry(when, self.order, what));
     }
 
-    /// Starts a controller, ending its former life if there is one.
-    pub fn start(&mut self, node: usize) {
-        self.lives += 1;
-        self.rules.keep(&self.settings[node]);
-        self.frozen.remove(&node);
-        self.nodes[node] = Some(Node {
-            controller: Controller::new(self.settings[node].clone(), Parameters::default()),
-            life: self.lives,
-            started: self.now,
-        });
-        self.at(self.now, Happening::Tick(node, self.lives));
-    }
-
-    /// Ends a controller without a word.
-    pub fn crash(&mut self, node: usize) {
-        self.nodes[node] = None;
-        self.frozen.remove(&node);
-    }
-
-    /// Ends a controller and starts it again after so long.
-    pub fn bounce(&mut self, node: usize, ms: u64) {
-        self.crash(node);
-        self.later(ms, move |cluster| cluster.start(node));
-    }
-
-    /// A controller stands still for so long, in the middle of what it does next.
-    pub fn freeze(&mut self, node: usize, ms: u64) {
-        self.frozen.entry(node).or_default();
-        self.later(ms, move |cluster| {
-            let Some(frozen) = cluster.frozen.remove(&node) else {
-                return;
-            };
-            cluster.effect("freeze");
-            if let Some((life, steady, actions)) = frozen.decided {
-                for action in actions {
-                    cluster.perform(node, life, steady, action);
-                }
-            }
-            for (life, event) in frozen.came {
-                cluster.dispatch(node, life, event);
-            }
-        });
-    }
-
-    /// Whether a controller is there.
-    pub fn is_up(&self, node: usize) -> bool {
-        self.nodes[node].is_some()
-    }
-
-    /// How many machines report to a controller.
-    pub fn reporting_to(&self, node: usize) -> usize {
-        self.workers.values().filter(|w| w.node == node).count()
-    }
-
-    /// The controller that leads by the store's word.
-    pub fn leader(&self) -> usize {
-        let (epoch, _, _) = &self.store.keys["c/epoch"];
-        let name = epoch["leader"]["name"].as_str().expect("a name");
-        name[1..].parse().expect("a number")
-    }
-
-    /// A key's value in the store.
-    pub fn stored(&self, key: &str) -> Option<&Value> {
-        self.store.keys.get(key).map(|(value, _, _)| value)
-    }
-
     /// Lets time pass.
     pub fn run(&mut self, ms: u64) {
         let until = self.now + ms;
@@ -356,124 +290,6 @@
         Self::report(id, self.workers.get_mut(id).expect("a worker"))
     }
 
-    /// Puts a value into the store, as somebody else would.
-    pub fn put(&mut self, key: &str, value: Value) {
-        let change = Change::Put {
-            key: key.to_owned(),
-            value,
-            lease: None,
-        };
-        let txn = Txn {
-            conditions: Vec::new(),
-            changes: vec![change],
-        };
-        self.store.apply(self.now, &StoreOp::Txn(txn));
-        self.wake_watches();
-    }
-
-    /// Removes a key from the store.
-    pub fn remove(&mut self, key: &str) {
-        let key = key.to_owned();
-        let txn = Txn {
-            conditions: Vec::new(),
-            changes: vec![Change::Delete { key }],
-        };
-        self.store.apply(self.now, &StoreOp::Txn(txn));
-        self.wake_watches();
-    }
-
-    /// Puts a final state into the store, as of a job long over.
-    pub fn put_final(&mut self, id: u64) {
-        self.put(&format!("f/{}", JobId(id)), json!({ "state": "done" }));
-    }
-
-    /// The epoch's number by the store's word.
-    pub fn epoch(&self) -> u64 {
-        self.stored("c/epoch")
-            .and_then(|e| e["number"].as_u64())
-            .unwrap_or(0)
-    }
-
-    /// How many attempts were launched on a machine, whether or not it heard of them.
-    pub fn launches_on(&self, id: &MachineId) -> usize {
-        self.launched
-            .values()
-            .filter(|launch| launch.1 == *id)
-            .count()
-    }
-
-    /// How many direct orders were sent to a machine.
-    pub fn orders_to(&self, id: &MachineId) -> usize {
-        self.orders_sent.iter().filter(|to| *to == id).count()
-    }
-
-    /// The store's revision.
-    pub fn revision(&self) -> u64 {
-        self.store.revision
-    }
-
-    /// The store's keys that begin so.
-    pub fn keys(&self, prefix: &str) -> Vec<String> {
-        let keys = self.store.keys.keys();
-        keys.filter(|key| key.starts_with(prefix))
-            .cloned()
-            .collect()
-    }
-
-    /// Whether all tasks of the job have completed.
-    pub fn all_done(&self, id: u64, tasks: u32) -> bool {
-        (0..tasks).all(|index| {
-            let job = JobId(id);
-            self.rules.has_completed(TaskId { job, index })
-        })
-    }
-
-    /// Tasks on machines now.
-    pub fn running(&self) -> Vec<TaskId> {
-        self.on_machines().map(|(_, task)| task.task).collect()
-    }
-
-    /// Whether tasks are on a machine.
-    pub fn busy(&self, id: &MachineId) -> bool {
-        self.on_machines().any(|(machine, _)| machine == id)
-    }
-
-    /// The session that a machine's worker is in; 0 if it is gone.
-    pub fn session(&self, id: &MachineId) -> u64 {
-        self.workers.get(id).map_or(0, |worker| worker.session)
-    }
-
-    /// Jobs with tasks on a machine.
-    pub fn jobs_on(&self, id: &MachineId) -> BTreeSet<JobId> {
-        let here = self.on_machines().filter(|(machine, _)| *machine == id);
-        here.map(|(_, task)| task.task.job).collect()
-    }
-
-    /// Tasks on machines; those of a worker whose lease is over are dead, hung or not.
-    fn on_machines(&self) -> impl Iterator<Item = (&MachineId, &Task)> {
-        let leased = |worker: &Worker| self.now <= worker.last_answered + LEASE_MS;
-        self.workers.iter().flat_map(move |(id, worker)| {
-            let tasks = worker.tasks.values().filter(move |_| leased(worker));
-            tasks
-                .filter(|t| matches!(t.state, TaskState::Running | TaskState::Saving))
-                .map(move |t| (id, t))
-        })
-    }
-
-    /// What is on machines, as the rules see it.
-    fn seen(&self) -> Vec<Seen<'_>> {
-        let seen = |(machine, task): (_, &Task)| {
-            let worker: &Worker = &self.workers[machine];
-            Seen {
-                task: task.task,
-                machine,
-                zone: &worker.zone,
-                spot: worker.spot,
-            }
-        };
-        self.on_machines().map(seen).collect()
-    }
-
     /// The reports kept back reach these controllers now.
     pub fn release_reports(&mut self, nodes: &[usize]) -> usize {
         let held = std::mem::take(&mut self.held_reports);
@@ -528,218 +344,6 @@
         RequestId(self.requests)
     }
 
-    fn dispatch(&mut self, node: usize, life: u64, event: Event) {
-        let now = self.now;
-        let Some(state) = self.nodes[node].as_mut().filter(|n| n.life == life) else {
-            return;
-        };
-        let frozen = self.frozen.get_mut(&node);
-        if let Some(frozen) = frozen.filter(|frozen| frozen.decided.is_some()) {
-            frozen.came.push((life, event));
-            return;
-        }
-        let steady = Time(now - state.started);
-        let at = Now {
-            steady,
-            wall_ms: WALL_MS + now,
-        };
-        let actions = state.controller.handle(at, event, &|| steady);
-        if let Some(frozen) = self.frozen.get_mut(&node) {
-            frozen.decided = Some((life, steady, actions));
-            return;
-        }
-        for action in actions {
-            self.perform(node, life, steady, action);
-        }
-    }
-
-    fn perform(&mut self, node: usize, life: u64, steady: Time, action: Action) {
-        let hop = self.now + self.hop_ms;
-        match action {
-            Action::Store(tag, op, deadline_ms) => {
-                let what = Happening::Store(node, life, tag, op, steady, self.now + deadline_ms);
-                self.at(hop, what);
-            }
-            Action::Cloud(request) => self.at(hop + 100, Happening::Cloud(node, life, request)),
-            Action::Orders(orders) => self.at(hop, Happening::Orders(node, life, orders)),
-            Action::Peer(to, request) => {
-                let to: usize = to.0[1..].parse().expect("a number");
-                let id = self.request();
-                if let PeerRequest::Sync(_) = request {
-                    let silence = Happening::PeerSilence(node, life, id.0);
-                    self.at(self.now + SYNC_DEADLINE_MS, silence);
-                }
-                self.at(hop, Happening::PeerAsk(node, life, to, id, request));
-            }
-            Action::PeerReply(request, answer) => self.answer_peer(node, life, request, answer),
-            Action::Reply(request, reply) => match self.waiting.remove(&(node, life, request)) {
-                Some(Waiting::User(slot, question)) => self.user_hears(slot, &question, reply),
-                Some(Waiting::Report(machine, session, seq, sent)) => {
-                    let what = Happening::AnswerArrives(machine, session, seq, sent, reply);
-                    self.at(hop, what);
-                }
-                _ => {}
-            },
-        }
-    }
-
-    fn node_in_cut_zone(&self, node: usize) -> bool {
-        let cut = self.trouble.zone_cut.as_ref();
-        cut.is_some_and(|(_, inside)| inside.contains(&node))
-    }
-
-    /// Whether packets pass between a machine and a controller.
-    fn linked(&self, id: &MachineId, node: usize) -> bool {
-        let Some((zone, inside)) = &self.trouble.zone_cut else {
-            return true;
-        };
-        let in_zone = self.workers.get(id).is_some_and(|w| w.zone == *zone);
-        in_zone == inside.contains(&node)
-    }
-
-    fn answer_peer(&mut self, node: usize, life: u64, request: RequestId, answer: PeerAnswer) {
-        if let Some(Waiting::Peer(asker, asker_life, _)) =
-            self.waiting.remove(&(node, life, request))
-        {
-            let event = Box::new(match answer {
-                PeerAnswer::StoreHealth(well) => Event::PeerStore(well),
-                PeerAnswer::KnownEpoch(known) => {
-                    Event::PeerEpoch(format!("n{node}").as_str().into(), known)
-                }
-                answer => Event::PeerAnswer(Some(answer)),
-            });
-            let what = Happening::Dispatch(asker, asker_life, event);
-            self.at(self.now + self.hop_ms, what);
-        }
-    }
-
-    fn happen(&mut self, what: Happening) {
-        match what {
-            Happening::Tick(node, life) => {
-                let alive = self.nodes[node].as_ref().is_some_and(|n| n.life == life);
-                if alive {
-                    self.dispatch(node, life, Event::Tick);
-                    self.at(self.now + TICK_MS, Happening::Tick(node, life));
-                }
-            }
-            Happening::Dispatch(node, life, event) => self.dispatch(node, life, *event),
-            Happening::Store(node, life, tag, op, sent, until) => {
-                self.store_request(node, life, tag, op, sent, until);
-            }
-            Happening::Cloud(node, life, request) => {
-                let reply = self.cloud(&request);
-                let event = Box::new(Event::Cloud(request, reply));
-                self.at(
-                    self.now + self.hop_ms,
-                    Happening::Dispatch(node, life, event),
-                );
-            }
-            Happening::PeerAsk(node, life, to, id, request) => {
-                let cut = &self.trouble.cut_from_peers;
-                let reached = !cut.contains(&node)
-                    && !cut.contains(&to)
-                    && self.node_in_cut_zone(node) == self.node_in_cut_zone(to);
-                let to_life = self.nodes[to].as_ref().map(|n| n.life);
-                let Some(to_life) = to_life.filter(|_| reached) else {
-                    if let PeerRequest::Sync(_) = request {
-                        let event = Box::new(Event::PeerAnswer(None));
-                        let when = self.now + SYNC_DEADLINE_MS;
-                        self.at(when, Happening::Dispatch(node, life, event));
-                    }
-                    return;
-                };
-                self.waiting
-                    .insert((to, to_life, id), Waiting::Peer(node, life, id.0));
-                self.dispatch(to, to_life, Event::Peer(id, request));
-            }
-            Happening::PeerSilence(node, life, id) => {
-                let lost = self
-                    .waiting
-                    .iter()
-                    .find(|(_, w)| matches!(w, Waiting::Peer(n, l, i) if (*n, *l, *i) == (node, life, id)))
-                    .map(|(key, _)| *key);
-                if let Some(key) = lost {
-                    self.waiting.remove(&key);
-                    self.dispatch(node, life, Event::PeerAnswer(None));
-                }
-            }
-            Happening::Orders(node, life, orders) => {
-                self.orders_sent.push(orders.machine.clone());
-                let linked = self.linked(&orders.machine, node);
-                let reply = if self.trouble.cut_from_workers.contains(&node) || !linked {
-                    OrdersReply::Unknown
-                } else if self.trouble.hold_orders {
-                    self.held_orders.push(orders.clone());
-                    OrdersReply::Unknown
-                } else {
-                    match self.execute_orders(&orders) {
-                        Some(report) => OrdersReply::Answered(report),
-                        None => OrdersReply::Unknown,
-                    }
-                };
-                let event = Box::new(Event::Ordered(orders, reply));
-                self.at(
-                    self.now + self.hop_ms,
-                    Happening::Dispatch(node, life, event),
-                );
-            }
-            Happening::Worker(id) => self.worker_turn(&id),
-            Happening::ReportArrives(node, id, report, sent) => {
-                if self.trouble.hold_reports.contains(&id) {
-                    self.held_reports.push(report);
-                    return;
-                }
-                if self.trouble.mute.contains(&id) || !self.linked(&id, node) {
-                    self.effect("unheard report");
-                    return;
-                }
-                let reached = !self.trouble.cut_from_workers.contains(&node);
-                let Some(life) = self.nodes[node]
-                    .as_ref()
-                    .map(|n| n.life)
-                    .filter(|_| reached)
-                else {
-                    self.next_node(&id);
-                    return;
-                };
-                let request = self.request();
-                let waiting = Waiting::Report(id, report.session.0, report.seq, sent);
-                self.waiting.insert((node, life, request), waiting);
-                let body = serde_json::to_vec(&report).expect("JSON");
-                self.dispatch(node, life, Event::Report(request, body));
-            }
-            Happening::CopyArrives(node, report) => {
-                if let Some(life) = self.nodes[node].as_ref().map(|n| n.life) {
-                    self.effect("copy");
-                    let request = self.request();
-                    let body = serde_json::to_vec(&report).expect("JSON");
-                    self.dispatch(node, life, Event::Report(request, body));
-                }
-            }
-            Happening::AnswerArrives(id, session, seq, sent, reply) => {
-                self.answered(&id, session, seq, sent, &reply);
-            }
-            Happening::NoAnswer(id, session, seq) => {
-                let waits = |w: &&Worker| w.reporting == Some(seq) && w.session == session;
-                match self.workers.get(&id).filter(waits).map(|w| w.hung) {
-                    // It notices when it goes on.
-                    Some(true) => {
-                        self.at(self.now + LOOK_MS, Happening::NoAnswer(id, session, seq));
-                    }
-                    Some(false) => self.next_node(&id),
-                    None => {}
-                }
-            }
-            Happening::LateTxn(txn) => {
-                self.effect("late write");
-                self.store.apply(self.now, &StoreOp::Txn(txn));
-                self.wake_watches();
-            }
-            Happening::Look => self.look(),
-            Happening::Scene(scene) => scene(self),
-        }
-    }
-
     /// What the cluster does from time to time by itself: it judges what is there, wakes watches, and delivers
     /// what was kept for a new leader.
     fn look(&mut self) {
--- /dev/null
+++ b/crates/worksshunt-core/tests/scenarios/cluster/network.rs
@@ -0,0 +1,206 @@
+//! What passes between controllers, services and workers, and when.
+
+use worksshunt_core::constants::{SYNC_DEADLINE_MS, TICK_MS};
+use worksshunt_core::controller::{Action, Event, StoreOp};
+use worksshunt_core::machines::OrdersReply;
+use worksshunt_core::time::Time;
+use worksshunt_core::users::RequestId;
+use worksshunt_wire::peer::{PeerAnswer, PeerRequest};
+use worksshunt_wire::MachineId;
+
+use super::*;
+
+impl Cluster {
+    pub(super) fn perform(&mut self, node: usize, life: u64, steady: Time, action: Action) {
+        let hop = self.now + self.hop_ms;
+        match action {
+            Action::Store(tag, op, deadline_ms) => {
+                let what = Happening::Store(node, life, tag, op, steady, self.now + deadline_ms);
+                self.at(hop, what);
+            }
+            Action::Cloud(request) => self.at(hop + 100, Happening::Cloud(node, life, request)),
+            Action::Orders(orders) => self.at(hop, Happening::Orders(node, life, orders)),
+            Action::Peer(to, request) => {
+                let to: usize = to.0[1..].parse().expect("a number");
+                let id = self.request();
+                if let PeerRequest::Sync(_) = request {
+                    let silence = Happening::PeerSilence(node, life, id.0);
+                    self.at(self.now + SYNC_DEADLINE_MS, silence);
+                }
+                self.at(hop, Happening::PeerAsk(node, life, to, id, request));
+            }
+            Action::PeerReply(request, answer) => self.answer_peer(node, life, request, answer),
+            Action::Reply(request, reply) => match self.waiting.remove(&(node, life, request)) {
+                Some(Waiting::User(slot, question)) => self.user_hears(slot, &question, reply),
+                Some(Waiting::Report(machine, session, seq, sent)) => {
+                    let what = Happening::AnswerArrives(machine, session, seq, sent, reply);
+                    self.at(hop, what);
+                }
+                _ => {}
+            },
+        }
+    }
+
+    pub(super) fn node_in_cut_zone(&self, node: usize) -> bool {
+        let cut = self.trouble.zone_cut.as_ref();
+        cut.is_some_and(|(_, inside)| inside.contains(&node))
+    }
+
+    /// Whether packets pass between a machine and a controller.
+    pub(super) fn linked(&self, id: &MachineId, node: usize) -> bool {
+        let Some((zone, inside)) = &self.trouble.zone_cut else {
+            return true;
+        };
+        let in_zone = self.workers.get(id).is_some_and(|w| w.zone == *zone);
+        in_zone == inside.contains(&node)
+    }
+
+    pub(super) fn answer_peer(
+        &mut self,
+        node: usize,
+        life: u64,
+        request: RequestId,
+        answer: PeerAnswer,
+    ) {
+        if let Some(Waiting::Peer(asker, asker_life, _)) =
+            self.waiting.remove(&(node, life, request))
+        {
+            let event = Box::new(match answer {
+                PeerAnswer::StoreHealth(well) => Event::PeerStore(well),
+                PeerAnswer::KnownEpoch(known) => {
+                    Event::PeerEpoch(format!("n{node}").as_str().into(), known)
+                }
+                answer => Event::PeerAnswer(Some(answer)),
+            });
+            let what = Happening::Dispatch(asker, asker_life, event);
+            self.at(self.now + self.hop_ms, what);
+        }
+    }
+
+    pub(super) fn happen(&mut self, what: Happening) {
+        match what {
+            Happening::Tick(node, life) => {
+                let alive = self.nodes[node].as_ref().is_some_and(|n| n.life == life);
+                if alive {
+                    self.dispatch(node, life, Event::Tick);
+                    self.at(self.now + TICK_MS, Happening::Tick(node, life));
+                }
+            }
+            Happening::Dispatch(node, life, event) => self.dispatch(node, life, *event),
+            Happening::Store(node, life, tag, op, sent, until) => {
+                self.store_request(node, life, tag, op, sent, until);
+            }
+            Happening::Cloud(node, life, request) => {
+                let reply = self.cloud(&request);
+                let event = Box::new(Event::Cloud(request, reply));
+                self.at(
+                    self.now + self.hop_ms,
+                    Happening::Dispatch(node, life, event),
+                );
+            }
+            Happening::PeerAsk(node, life, to, id, request) => {
+                let cut = &self.trouble.cut_from_peers;
+                let reached = !cut.contains(&node)
+                    && !cut.contains(&to)
+                    && self.node_in_cut_zone(node) == self.node_in_cut_zone(to);
+                let to_life = self.nodes[to].as_ref().map(|n| n.life);
+                let Some(to_life) = to_life.filter(|_| reached) else {
+                    if let PeerRequest::Sync(_) = request {
+                        let event = Box::new(Event::PeerAnswer(None));
+                        let when = self.now + SYNC_DEADLINE_MS;
+                        self.at(when, Happening::Dispatch(node, life, event));
+                    }
+                    return;
+                };
+                self.waiting
+                    .insert((to, to_life, id), Waiting::Peer(node, life, id.0));
+                self.dispatch(to, to_life, Event::Peer(id, request));
+            }
+            Happening::PeerSilence(node, life, id) => {
+                let lost = self
+                    .waiting
+                    .iter()
+                    .find(|(_, w)| matches!(w, Waiting::Peer(n, l, i) if (*n, *l, *i) == (node, life, id)))
+                    .map(|(key, _)| *key);
+                if let Some(key) = lost {
+                    self.waiting.remove(&key);
+                    self.dispatch(node, life, Event::PeerAnswer(None));
+                }
+            }
+            Happening::Orders(node, life, orders) => {
+                self.orders_sent.push(orders.machine.clone());
+                let linked = self.linked(&orders.machine, node);
+                let reply = if self.trouble.cut_from_workers.contains(&node) || !linked {
+                    OrdersReply::Unknown
+                } else if self.trouble.hold_orders {
+                    self.held_orders.push(orders.clone());
+                    OrdersReply::Unknown
+                } else {
+                    match self.execute_orders(&orders) {
+                        Some(report) => OrdersReply::Answered(report),
+                        None => OrdersReply::Unknown,
+                    }
+                };
+                let event = Box::new(Event::Ordered(orders, reply));
+                self.at(
+                    self.now + self.hop_ms,
+                    Happening::Dispatch(node, life, event),
+                );
+            }
+            Happening::Worker(id) => self.worker_turn(&id),
+            Happening::ReportArrives(node, id, report, sent) => {
+                if self.trouble.hold_reports.contains(&id) {
+                    self.held_reports.push(report);
+                    return;
+                }
+                if self.trouble.mute.contains(&id) || !self.linked(&id, node) {
+                    self.effect("unheard report");
+                    return;
+                }
+                let reached = !self.trouble.cut_from_workers.contains(&node);
+                let Some(life) = self.nodes[node]
+                    .as_ref()
+                    .map(|n| n.life)
+                    .filter(|_| reached)
+                else {
+                    self.next_node(&id);
+                    return;
+                };
+                let request = self.request();
+                let waiting = Waiting::Report(id, report.session.0, report.seq, sent);
+                self.waiting.insert((node, life, request), waiting);
+                let body = serde_json::to_vec(&report).expect("JSON");
+                self.dispatch(node, life, Event::Report(request, body));
+            }
+            Happening::CopyArrives(node, report) => {
+                if let Some(life) = self.nodes[node].as_ref().map(|n| n.life) {
+                    self.effect("copy");
+                    let request = self.request();
+                    let body = serde_json::to_vec(&report).expect("JSON");
+                    self.dispatch(node, life, Event::Report(request, body));
+                }
+            }
+            Happening::AnswerArrives(id, session, seq, sent, reply) => {
+                self.answered(&id, session, seq, sent, &reply);
+            }
+            Happening::NoAnswer(id, session, seq) => {
+                let waits = |w: &&Worker| w.reporting == Some(seq) && w.session == session;
+                match self.workers.get(&id).filter(waits).map(|w| w.hung) {
+                    // It notices when it goes on.
+                    Some(true) => {
+                        self.at(self.now + LOOK_MS, Happening::NoAnswer(id, session, seq));
+                    }
+                    Some(false) => self.next_node(&id),
+                    None => {}
+                }
+            }
+            Happening::LateTxn(txn) => {
+                self.effect("late write");
+                self.store.apply(self.now, &StoreOp::Txn(txn));
+                self.wake_watches();
+            }
+            Happening::Look => self.look(),
+            Happening::Scene(scene) => scene(self),
+        }
+    }
+}
--- a/crates/worksshunt-core/tests/scenarios/order.rs
+++ b/crates/worksshunt-core/tests/scenarios/order.rs
@@ -1,11 +1,19 @@
 //! The order in which waiting work is served, and what may be stopped for it.
 
-use serde_json::json;
+use serde_json::{json, Value};
 use worksshunt_wire::JobId;
 
 use crate::cluster::{job, Cluster};
 use crate::{long_job, ready};
 
+/// A job of four tasks with an estimate and a deadline.
+fn due(id: u64, estimate_s: f64, deadline_s: f64) -> Value {
+    let mut due = job(id, 4);
+    due["CalculoS"] = json!(estimate_s);
+    due["EntregaS"] = json!(deadline_s);
+    due
+}
+
 /// A full fleet of two machines, run by team blue (guarantee 8) at low priority.
 fn full_fleet(tasks: u32) -> Cluster {
     let mut cluster = ready();
@@ -100,12 +108,6 @@
     cluster.run(3_000);
     cluster.capacity = 1;
     cluster.run_ms = 10_000;
-    let due = |id: u64, estimate_s: f64, deadline_s: f64| {
-        let mut due = job(id, 4);
-        due["CalculoS"] = json!(estimate_s);
-        due["EntregaS"] = json!(deadline_s);
-        due
-    };
     cluster.submit(0, &due(1, 10.0, 60.0));
     cluster.until("the first", 20_000, |w| w.running().len() == 4);
     cluster.submit(1, &due(2, 300.0, 400.0));
@@ -137,12 +139,6 @@
     let mut cluster = ready();
     cluster.capacity = 1;
     cluster.run_ms = 10_000;
-    let due = |id: u64, estimate_s: f64, deadline_s: f64| {
-        let mut due = job(id, 4);
-        due["CalculoS"] = json!(estimate_s);
-        due["EntregaS"] = json!(deadline_s);
-        due
-    };
     cluster.submit(0, &due(1, 10.0, 60.0));
     cluster.until("the first", 20_000, |w| w.running().len() == 4);
     cluster.submit(1, &due(2, 10.0, 11.0));
