--- a/crates/worksshunt-core/src/controller/epochs.rs
+++ b/crates/worksshunt-core/src/controller/epochs.rs
@@ -76,6 +76,7 @@
         let answered = !matches!(reply, StoreReply::Refused | StoreReply::Unknown);
         if answered {
             self.store_heard = t;
+            self.epoch_poll.state_service_answered();
         }
         match tag {
             StoreTag::NewLease => {
--- a/crates/worksshunt-core/src/controller/outage.rs
+++ b/crates/worksshunt-core/src/controller/outage.rs
@@ -74,8 +74,13 @@
 
     pub(super) fn epoch_poll_answer(&mut self, from: &NodeName, known: &KnownEpoch) {
         self.epoch_poll.answered(from, known);
-        if let Some(sent) = self.epoch_poll.confirmed(self.membership.token()) {
-            self.membership.confirmed(sent);
+        let epoch = self.membership.token();
+        let Some(sent) = self.epoch_poll.confirmed(epoch) else {
+            return;
+        };
+        if self.epoch_poll.is_first_confirmation() {
+            tracing::info!(%epoch, "the state service is silent: all controllers confirm the epoch");
         }
+        self.membership.confirmed(sent);
     }
 }
--- a/crates/worksshunt-core/src/epoch_poll.rs
+++ b/crates/worksshunt-core/src/epoch_poll.rs
@@ -23,6 +23,8 @@
     epoch: Epoch,
     awaited: BTreeSet<NodeName>,
     refused: bool,
+    /// A poll has confirmed the epoch since the state service last answered.
+    confirmed_before: bool,
 }
 
 impl EpochPoll {
@@ -52,4 +54,14 @@
         let begun = self.number > 0 && self.epoch == epoch;
         (begun && self.awaited.is_empty() && !self.refused).then_some(self.sent)
     }
+
+    /// Notes a confirmation, and says whether it is the first since the state service last answered.
+    pub fn is_first_confirmation(&mut self) -> bool {
+        !std::mem::replace(&mut self.confirmed_before, true)
+    }
+
+    /// The state service has answered: the next confirmation by a poll is the first of another outage.
+    pub fn state_service_answered(&mut self) {
+        self.confirmed_before = false;
+    }
 }
--- a/crates/worksshunt-core/tests/scenarios/outage.rs
+++ b/crates/worksshunt-core/tests/scenarios/outage.rs
@@ -203,3 +203,12 @@
     poll.answered(&name("n1"), &known(second, 4));
     assert_eq!(poll.confirmed(Epoch(4)), Some(Time(2_000)));
 }
+
+#[test]
+fn only_the_first_confirmation_of_an_outage_is_news() {
+    let mut poll = EpochPoll::default();
+    assert!(poll.is_first_confirmation());
+    assert!(!poll.is_first_confirmation());
+    poll.state_service_answered();
+    assert!(poll.is_first_confirmation(), "another outage");
+}
--- a/crates/worksshunt-net/src/peer.rs
+++ b/crates/worksshunt-net/src/peer.rs
@@ -115,3 +115,6 @@
     }
     tracing::debug!(%from, "peer connection ended");
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/worksshunt-net/src/peer/tests.rs
@@ -0,0 +1,52 @@
+//! Tests of `peer`: frames in memory.
+
+use async_io::block_on;
+use futures_lite::io::Cursor;
+use worksshunt_wire::peer::KnownEpoch;
+use worksshunt_wire::Epoch;
+
+use super::*;
+
+fn framed(message: &impl BorshSerialize) -> Vec<u8> {
+    let mut bytes = Cursor::new(Vec::new());
+    block_on(write_frame(&mut bytes, message)).expect("written");
+    bytes.into_inner()
+}
+
+fn read<T: BorshDeserialize>(bytes: Vec<u8>) -> std::io::Result<T> {
+    block_on(read_frame(&mut Cursor::new(bytes)))
+}
+
+#[test]
+fn what_is_framed_is_read_again() {
+    let known = KnownEpoch {
+        poll: 3,
+        epoch: Epoch(7),
+        state_service_answers: true,
+    };
+    let answer = PeerAnswer::KnownEpoch(known);
+    assert_eq!(read::<PeerAnswer>(framed(&answer)).expect("read"), answer);
+    let request = PeerRequest::KnownEpoch { poll: 3 };
+    assert_eq!(
+        read::<PeerRequest>(framed(&request)).expect("read"),
+        request
+    );
+}
+
+// Production meets the poll of epochs in this way: what it does not know ends the connection.
+#[test]
+fn a_message_of_a_later_version_is_an_error() {
+    let unknown_variant: u8 = 200;
+    assert!(read::<PeerRequest>(framed(&unknown_variant)).is_err());
+    let longer = (PeerRequest::StoreHealth, 9_u64);
+    assert!(read::<PeerRequest>(framed(&longer)).is_err());
+}
+
+#[test]
+fn a_frame_over_the_limit_or_cut_short_is_an_error() {
+    let length = u32::try_from(FRAME_BYTES + 1).expect("fits").to_le_bytes();
+    assert!(read::<PeerRequest>(length.to_vec()).is_err());
+    let mut short = framed(&PeerRequest::KnownEpoch { poll: 3 });
+    short.pop();
+    assert!(read::<PeerRequest>(short).is_err());
+}
