--- a/crates/worksshunt-core/src/jobs/mirror.rs
+++ b/crates/worksshunt-core/src/jobs/mirror.rs
@@ -10,7 +10,7 @@
 
 use crate::constants::{CLOSED_KEPT, FINALS_KEPT};
 
-use super::*;
+use super::{id_of, is_intake, read_intake, Job, OPEN};
 
 /// An open job as the store has it.
 #[derive(Debug, Clone)]
@@ -99,7 +99,7 @@
     }
 
     /// Whether any service is open.
-    pub fn any_stands(&self) -> bool {
+    pub fn any_service(&self) -> bool {
         self.open.values().any(|open| open.job.is_service())
     }
 
--- a/crates/worksshunt-core/src/jobs/mod.rs
+++ b/crates/worksshunt-core/src/jobs/mod.rs
@@ -110,7 +110,7 @@
         self.spec.kind == JobKind::Service
     }
 
-    /// a service nobody asked for, whose replicas each take a whole machine of that type.
+    /// A service nobody asked for, whose replicas each take a whole machine of that type.
     pub fn whole_machine(machine: &MachineType) -> Job {
         let spec = JobSpec {
             id: JobId(0),
--- a/crates/worksshunt-core/src/machines/exchange.rs
+++ b/crates/worksshunt-core/src/machines/exchange.rs
@@ -92,13 +92,13 @@
 
     fn attempt_up(&self, attempt: Attempt, now: Time) -> Option<AttemptUp> {
         let id = self.homes.get(&attempt)?;
-        let held = self.machines.get(id)?.attempts.get(&attempt)?;
+        let tracked = self.machines.get(id)?.attempts.get(&attempt)?;
         Some(AttemptUp {
-            task: held.task,
+            task: tracked.task,
             attempt,
             machine: id.clone(),
-            phase: held.phase(),
-            ran_ms: match held.state {
+            phase: tracked.phase(),
+            ran_ms: match tracked.state {
                 AttemptState::Running(since) => now.since(since),
                 _ => 0,
             },
@@ -129,8 +129,8 @@
                 self.hand_back(&queued.give);
             }
             let job = self.homes.get(attempt).and_then(|id| {
-                let held = self.machines.get(id)?.attempts.get(attempt)?;
-                held.job.clone()
+                let tracked = self.machines.get(id)?.attempts.get(attempt)?;
+                tracked.job.clone()
             });
             self.stop(*attempt, job.map_or(0.0, |job| grace(&job)), now);
         }
@@ -139,8 +139,8 @@
                 .homes
                 .get(attempt)
                 .and_then(|id| self.machines.get_mut(id));
-            if let Some(held) = machine.and_then(|machine| machine.attempts.get_mut(attempt)) {
-                held.durable = true;
+            if let Some(tracked) = machine.and_then(|machine| machine.attempts.get_mut(attempt)) {
+                tracked.durable = true;
             }
         }
         let Some(wishes) = &down.wishes else { return };
--- a/crates/worksshunt-core/src/machines/loading.rs
+++ b/crates/worksshunt-core/src/machines/loading.rs
@@ -55,9 +55,9 @@
             self.machines.insert(id, machine);
         }
         for (id, machine) in &self.machines {
-            for (attempt, held) in &machine.attempts {
+            for (attempt, tracked) in &machine.attempts {
                 self.homes.insert(*attempt, id.clone());
-                let attempts = self.by_job.entry(held.task.job).or_default();
+                let attempts = self.by_job.entry(tracked.task.job).or_default();
                 attempts.insert(*attempt);
                 self.outgoing.attempts.insert(*attempt);
             }
@@ -86,22 +86,22 @@
             // What a later version's job is about is not known, so it is let be.
             let over = job.is_none() && !mirror.is_odd(record.task.job);
             let stop = over.then_some(0.0);
-            let mut held = TrackedAttempt::new(
+            let mut tracked = TrackedAttempt::new(
                 record.task,
                 job,
                 AttemptState::Inherited,
                 record.session,
                 now,
             );
-            held.stop = stop;
-            machine.attempts.insert(record.attempt, held);
+            tracked.stop = stop;
+            machine.attempts.insert(record.attempt, tracked);
         }
         machine
     }
 
     /// A machine that goes on into the next epoch under the same owner. What is not on the record
     /// was never launched, and the new leader knows nothing of it: it is dropped. What is on the
-    /// record and not held is gone.
+    /// record and not tracked is gone.
     fn carried_over(
         &mut self,
         now: Time,
@@ -113,9 +113,9 @@
         machine
             .attempts
             .retain(|attempt, _| recorded.contains(attempt));
-        for held in machine.attempts.values_mut() {
-            if held.state == AttemptState::Recording {
-                held.step(AttemptState::Recorded);
+        for tracked in machine.attempts.values_mut() {
+            if tracked.state == AttemptState::Recording {
+                tracked.step(AttemptState::Recorded);
             }
         }
         for gone in record
--- a/crates/worksshunt-core/src/machines/machine.rs
+++ b/crates/worksshunt-core/src/machines/machine.rs
@@ -243,8 +243,8 @@
             return Room::default();
         };
         let mut free = info.room;
-        for held in self.attempts.values() {
-            match (&held.job, held.state) {
+        for tracked in self.attempts.values() {
+            match (&tracked.job, tracked.state) {
                 (_, AttemptState::Completed) => {}
                 (Some(job), _) => free.take(&Room::of_job(job)),
                 // Of unknown size: nothing may join it.
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -113,63 +113,63 @@
     }
 
     /// Puts an attempt on a machine.
-    fn track(&mut self, id: &MachineId, attempt: Attempt, held: TrackedAttempt) {
+    fn track(&mut self, id: &MachineId, attempt: Attempt, tracked: TrackedAttempt) {
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
-        let job = held.task.job;
-        machine.attempts.insert(attempt, held);
+        let job = tracked.task.job;
+        machine.attempts.insert(attempt, tracked);
         self.homes.insert(attempt, id.clone());
         self.by_job.entry(job).or_default().insert(attempt);
         self.outgoing.attempts.insert(attempt);
     }
 
     /// Takes an attempt off its machine for good and tells the leader how it ended.
-    fn drop_held(
+    fn untrack(
         &mut self,
         id: &MachineId,
         attempt: Attempt,
         how: End,
         now: Time,
     ) -> Option<TrackedAttempt> {
-        let held = self.machines.get_mut(id)?.attempts.remove(&attempt)?;
+        let tracked = self.machines.get_mut(id)?.attempts.remove(&attempt)?;
         self.homes.remove(&attempt);
-        if let Some(attempts) = self.by_job.get_mut(&held.task.job) {
+        if let Some(attempts) = self.by_job.get_mut(&tracked.task.job) {
             attempts.remove(&attempt);
             if attempts.is_empty() {
-                self.by_job.remove(&held.task.job);
+                self.by_job.remove(&tracked.task.job);
             }
         }
         self.pages.remove(&attempt, now, how == End::Lost);
         self.outgoing.attempts.remove(&attempt);
         self.outgoing.ended.push(Ended {
-            task: held.task,
+            task: tracked.task,
             attempt,
             machine: Some(id.clone()),
             how,
         });
-        Some(held)
+        Some(tracked)
     }
 
     /// Ends an attempt on a machine without completion.
     fn end(&mut self, id: &MachineId, attempt: Attempt, how: End, now: Time) {
-        let Some(held) = self.drop_held(id, attempt, how, now) else {
+        let Some(tracked) = self.untrack(id, attempt, how, now) else {
             return;
         };
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
         // That a replica ends after running well does not speak against its machine.
-        let ran_well = held.job.as_ref().is_some_and(|job| job.is_service())
-            && matches!(held.state, AttemptState::Running(since) if now.since(since) >= STEADY_REPLICA_MS);
-        if how == End::Error && !ran_well && machine.failing.insert(held.task.job) {
+        let ran_well = tracked.job.as_ref().is_some_and(|job| job.is_service())
+            && matches!(tracked.state, AttemptState::Running(since) if now.since(since) >= STEADY_REPLICA_MS);
+        if how == End::Error && !ran_well && machine.failing.insert(tracked.task.job) {
             let jobs = machine.failing.len();
-            tracing::info!(task = %held.task, machine = %id, jobs, "failed here");
+            tracing::info!(task = %tracked.task, machine = %id, jobs, "failed here");
         }
-        if held.ordered {
-            machine.kept.insert(attempt, held.session);
+        if tracked.ordered {
+            machine.kept.insert(attempt, tracked.session);
         }
-        if let Some(band) = held.over_capacity {
+        if let Some(band) = tracked.over_capacity {
             let outcome = match how {
                 End::Error => Outcome::Faulted,
                 _ => Outcome::Aborted,
@@ -238,20 +238,20 @@
         let Some(id) = self.homes.get(&attempt).cloned() else {
             return;
         };
-        let Some(held) = self
+        let Some(tracked) = self
             .machines
             .get_mut(&id)
             .and_then(|machine| machine.attempts.get_mut(&attempt))
         else {
             return;
         };
-        if held.never_launched() {
+        if tracked.never_launched() {
             self.end(&id, attempt, End::Stopped, now);
-        } else if held.state == AttemptState::Completed {
+        } else if tracked.state == AttemptState::Completed {
             // The job is over: nothing is left to be made durable.
-            held.durable |= grace_s == 0.0;
+            tracked.durable |= grace_s == 0.0;
         } else {
-            held.stop = Some(held.stop.map_or(grace_s, |before| before.min(grace_s)));
+            tracked.stop = Some(tracked.stop.map_or(grace_s, |before| before.min(grace_s)));
             self.to_order.insert(id.clone());
         }
         self.look_at(&id, now);
@@ -278,7 +278,7 @@
         let attempts: Vec<Attempt> = machine
             .attempts
             .iter()
-            .filter(|(_, held)| held.state != AttemptState::Completed)
+            .filter(|(_, tracked)| tracked.state != AttemptState::Completed)
             .map(|(attempt, _)| *attempt)
             .collect();
         if !attempts.is_empty() {
@@ -358,7 +358,7 @@
             return;
         };
         for attempt in machine.attempts.keys().copied().collect::<Vec<_>>() {
-            self.drop_held(id, attempt, End::Settled, now);
+            self.untrack(id, attempt, End::Settled, now);
         }
         if let Some(machine) = self.machines.remove(id) {
             self.sightings.note(id, machine.newest);
@@ -377,12 +377,13 @@
         let Some(notice) = machine.notice else {
             return;
         };
-        for held in machine.attempts.values_mut() {
-            let saves = held.job.as_ref().is_some_and(|job| {
+        for tracked in machine.attempts.values_mut() {
+            let saves = tracked.job.as_ref().is_some_and(|job| {
                 job.spec.checkpoint_s > 0.0 && now + (job.spec.save_s * 1_000.0) as u64 <= notice
             });
-            if saves && held.stop.is_none() && matches!(held.state, AttemptState::Running(_)) {
-                held.stop = held.job.as_ref().map(|job| grace(job));
+            if saves && tracked.stop.is_none() && matches!(tracked.state, AttemptState::Running(_))
+            {
+                tracked.stop = tracked.job.as_ref().map(|job| grace(job));
                 self.to_order.insert(id.clone());
             }
         }
@@ -398,7 +399,7 @@
         let unlaunched: Vec<Attempt> = machine
             .attempts
             .iter()
-            .filter(|(_, held)| held.never_launched())
+            .filter(|(_, tracked)| tracked.never_launched())
             .map(|(attempt, _)| *attempt)
             .collect();
         for attempt in unlaunched {
@@ -418,9 +419,11 @@
                 continue;
             };
             let machine = self.machines.get_mut(id);
-            let held = machine.and_then(|machine| machine.attempts.get_mut(&attempt));
-            if let Some(held) = held.filter(|held| held.state == AttemptState::Recording) {
-                held.step(AttemptState::Recorded);
+            let tracked = machine.and_then(|machine| machine.attempts.get_mut(&attempt));
+            if let Some(tracked) =
+                tracked.filter(|tracked| tracked.state == AttemptState::Recording)
+            {
+                tracked.step(AttemptState::Recorded);
                 self.to_order.insert(id.clone());
             }
         }
--- a/crates/worksshunt-core/src/machines/placing.rs
+++ b/crates/worksshunt-core/src/machines/placing.rs
@@ -23,7 +23,7 @@
         // The leader, which knows of all parts, hands out nothing for ordinary machines that are kept.
         let spot_up = |m: &Machine| m.summary.usable && m.info.as_ref().is_some_and(|i| i.spot);
         let kept =
-            !self.queue.is_empty() && mirror.any_stands() && self.machines.values().any(spot_up);
+            !self.queue.is_empty() && mirror.any_service() && self.machines.values().any(spot_up);
         // Equal tasks of a job find no machine either.
         let mut in_vain: BTreeSet<(JobId, Option<String>, Option<MachineId>)> = BTreeSet::new();
         for _ in 0..self.queue.len() {
@@ -66,10 +66,10 @@
             .machines
             .get(&choice.machine)
             .map_or(Session(0), |machine| machine.newest.0);
-        let mut held =
+        let mut tracked =
             TrackedAttempt::new(give.task, Some(job), AttemptState::Recording, session, now);
-        held.over_capacity = band;
-        self.track(&choice.machine, give.attempt, held);
+        tracked.over_capacity = band;
+        self.track(&choice.machine, give.attempt, tracked);
         let record = Recorded {
             machine: choice.machine.clone(),
             task: give.task,
--- a/crates/worksshunt-core/src/machines/reports.rs
+++ b/crates/worksshunt-core/src/machines/reports.rs
@@ -178,7 +178,9 @@
         let gone: Vec<Attempt> = machine
             .attempts
             .iter()
-            .filter(|(_, held)| held.session < session && held.state != AttemptState::Completed)
+            .filter(|(_, tracked)| {
+                tracked.session < session && tracked.state != AttemptState::Completed
+            })
             .map(|(attempt, _)| *attempt)
             .collect();
         for attempt in gone {
@@ -194,35 +196,35 @@
         };
         machine.foreign = false;
         for listed in &report.tasks {
-            let Some(held) = machine.attempts.get_mut(&listed.attempt) else {
+            let Some(tracked) = machine.attempts.get_mut(&listed.attempt) else {
                 machine.foreign |= listed.state != TaskState::Ended;
                 continue;
             };
-            let before = held.phase();
+            let before = tracked.phase();
             match (listed.state, listed.reason) {
-                (TaskState::Fetching, _) => held.step(AttemptState::Fetching),
-                (TaskState::Running, _) => held.step(AttemptState::Running(now)),
-                (TaskState::Saving, _) => held.step(AttemptState::Saving),
+                (TaskState::Fetching, _) => tracked.step(AttemptState::Fetching),
+                (TaskState::Running, _) => tracked.step(AttemptState::Running(now)),
+                (TaskState::Saving, _) => tracked.step(AttemptState::Saving),
                 // A replica is never done: one that ends has failed, whatever it says.
                 (TaskState::Ended, Some(ExitReason::Done))
-                    if held.job.as_ref().is_some_and(|job| job.is_service()) =>
+                    if tracked.job.as_ref().is_some_and(|job| job.is_service()) =>
                 {
                     ended.push((listed.attempt, End::Error));
                 }
                 (TaskState::Ended, Some(ExitReason::Done)) => {
-                    if held.state != AttemptState::Completed {
+                    if tracked.state != AttemptState::Completed {
                         machine.failing.clear();
-                        held.step(AttemptState::Completed);
-                        if let (Some(job), false) = (&held.job, held.inherited) {
-                            let held_s = now.since(held.placed_at) as f64 / 1_000.0;
+                        tracked.step(AttemptState::Completed);
+                        if let (Some(job), false) = (&tracked.job, tracked.inherited) {
+                            let held_s = now.since(tracked.placed_at) as f64 / 1_000.0;
                             let estimate_s = job.spec.estimate_s;
-                            tracing::debug!(task = %held.task, machine = %id, held_s, estimate_s, "completed");
+                            tracing::debug!(task = %tracked.task, machine = %id, held_s, estimate_s, "completed");
                             self.speeds
                                 .entry(id.clone())
                                 .or_insert(Speed::UNMEASURED)
                                 .learn(estimate_s, held_s, self.parameters.start_speed);
                         }
-                        if let Some(band) = held.over_capacity.take() {
+                        if let Some(band) = tracked.over_capacity.take() {
                             self.over_capacity.ended(band, Outcome::Completed);
                         }
                     }
@@ -232,10 +234,10 @@
                 }
                 (TaskState::Ended, _) => ended.push((listed.attempt, End::Stopped)),
             }
-            if held.phase() != before {
+            if tracked.phase() != before {
                 self.outgoing.attempts.insert(listed.attempt);
             }
-            if held.stop.is_some() && !held.stop_sent {
+            if tracked.stop.is_some() && !tracked.stop_sent {
                 self.to_order.insert(id.clone());
             }
         }
@@ -251,21 +253,21 @@
         };
         let listed: BTreeSet<Attempt> = report.tasks.iter().map(|t| t.attempt).collect();
         let mut gone = Vec::new();
-        for (attempt, held) in &mut machine.attempts {
+        for (attempt, tracked) in &mut machine.attempts {
             if listed.contains(attempt) {
                 continue;
             }
-            match held.state {
+            match tracked.state {
                 AttemptState::Recording | AttemptState::Recorded => {}
                 // The answer that carried the launch was dropped, or this report would list it.
                 AttemptState::Launched if direct => {}
-                AttemptState::Launched if held.stop.is_none() => {
-                    held.step(AttemptState::Recorded);
+                AttemptState::Launched if tracked.stop.is_none() => {
+                    tracked.step(AttemptState::Recorded);
                     self.to_order.insert(id.clone());
                 }
                 // It can still arrive, so its absence means nothing.
                 AttemptState::Ordered => {}
-                AttemptState::Completed if held.durable => gone.push((*attempt, End::Settled)),
+                AttemptState::Completed if tracked.durable => gone.push((*attempt, End::Settled)),
                 AttemptState::Completed => {}
                 _ if definitive => gone.push((*attempt, End::Lost)),
                 _ => {}
@@ -274,7 +276,7 @@
         for (attempt, how) in gone {
             match how {
                 End::Settled => {
-                    self.drop_held(id, attempt, how, now);
+                    self.untrack(id, attempt, how, now);
                 }
                 how => self.end(id, attempt, how, now),
             }
@@ -294,12 +296,12 @@
         } in &report.tasks
         {
             let (task, attempt) = (*task, *attempt);
-            let held = machine.attempts.get(&attempt);
+            let tracked = machine.attempts.get(&attempt);
             if *state == TaskState::Ended {
                 // A completion is durable before the worker forgets it, and no launch of a forgotten
                 // attempt may still be on its way.
-                let reap = match held {
-                    Some(held) => held.durable && !held.ordered,
+                let reap = match tracked {
+                    Some(tracked) => tracked.durable && !tracked.ordered,
                     None => !machine.kept.contains_key(&attempt),
                 };
                 if reap {
@@ -307,9 +309,9 @@
                 }
                 continue;
             }
-            let grace_s = match held {
+            let grace_s = match tracked {
                 None => Some(0.0),
-                Some(held) => held.stop,
+                Some(tracked) => tracked.stop,
             };
             match (grace_s, state) {
                 (Some(grace_s), TaskState::Saving) if grace_s > 0.0 => {}
@@ -324,16 +326,16 @@
         let ordering = machine.ordering;
         let listed: BTreeSet<Attempt> = report.tasks.iter().map(|t| t.attempt).collect();
         let notice = machine.notice.is_some();
-        for (attempt, held) in &mut machine.attempts {
-            if held.session != report.session {
+        for (attempt, tracked) in &mut machine.attempts {
+            if tracked.session != report.session {
                 continue;
             }
-            let (task, attempt) = (held.task, *attempt);
+            let (task, attempt) = (tracked.task, *attempt);
             let launch = Command::Launch { task, attempt };
-            match held.state {
-                AttemptState::Recorded if held.stop.is_none() && !notice => {
-                    held.step(AttemptState::Launched);
-                    held.placed_at = now;
+            match tracked.state {
+                AttemptState::Recorded if tracked.stop.is_none() && !notice => {
+                    tracked.step(AttemptState::Launched);
+                    tracked.placed_at = now;
                     commands.push(launch);
                 }
                 // The direct launch was not answered: launched this way as well, which has no
@@ -341,7 +343,7 @@
                 // worker then knows it as ended, and the late copy has no effect either.
                 AttemptState::Ordered if !ordering && !listed.contains(&attempt) => {
                     commands.push(launch);
-                    if held.stop.is_some() {
+                    if tracked.stop.is_some() {
                         let grace_s = 0.0;
                         commands.push(Command::Halt {
                             task,
@@ -390,7 +392,7 @@
             let commands: Vec<Command> = machine
                 .attempts
                 .iter_mut()
-                .filter_map(|(attempt, held)| order(*attempt, held, session, notice, now))
+                .filter_map(|(attempt, tracked)| order(*attempt, tracked, session, notice, now))
                 .collect();
             if commands.is_empty() && !probe {
                 continue;
@@ -457,10 +459,10 @@
                 continue;
             };
             machine.kept.remove(attempt);
-            if let Some(held) = machine.attempts.get_mut(attempt) {
-                held.ordered = false;
-                if held.state == AttemptState::Ordered {
-                    held.step(after);
+            if let Some(tracked) = machine.attempts.get_mut(attempt) {
+                tracked.ordered = false;
+                if tracked.state == AttemptState::Ordered {
+                    tracked.step(after);
                 }
             }
         }
@@ -470,25 +472,27 @@
 /// The order that an attempt calls for, if any.
 fn order(
     attempt: Attempt,
-    held: &mut TrackedAttempt,
+    tracked: &mut TrackedAttempt,
     session: Session,
     notice: bool,
     now: Time,
 ) -> Option<Command> {
-    let task = held.task;
-    let launch = held.state == AttemptState::Recorded
-        && held.stop.is_none()
+    let task = tracked.task;
+    let launch = tracked.state == AttemptState::Recorded
+        && tracked.stop.is_none()
         && !notice
-        && held.session == session;
+        && tracked.session == session;
     if launch {
-        held.step(AttemptState::Ordered);
-        held.ordered = true;
-        held.placed_at = now;
+        tracked.step(AttemptState::Ordered);
+        tracked.ordered = true;
+        tracked.placed_at = now;
         return Some(Command::Launch { task, attempt });
     }
-    match (held.stop, held.state) {
-        (Some(grace_s), AttemptState::Fetching | AttemptState::Running(_)) if !held.stop_sent => {
-            held.stop_sent = true;
+    match (tracked.stop, tracked.state) {
+        (Some(grace_s), AttemptState::Fetching | AttemptState::Running(_))
+            if !tracked.stop_sent =>
+        {
+            tracked.stop_sent = true;
             Some(Command::Halt {
                 task,
                 attempt,
--- a/crates/worksshunt-core/tests/scenarios/cluster/fixtures.rs
+++ b/crates/worksshunt-core/tests/scenarios/cluster/fixtures.rs
@@ -35,7 +35,7 @@
     .expect("catalog")
 }
 
-/// a service of team blue with replicas of one processor.
+/// A service of team blue with replicas of one processor.
 pub fn service(id: u64, replicas: u32) -> Value {
     let mut job = job(id, replicas);
     job["Oficio"] = json!("standing");
--- a/crates/worksshunt-core/tests/scenarios/cluster/mod.rs
+++ b/crates/worksshunt-core/tests/scenarios/cluster/mod.rs
@@ -377,7 +377,7 @@
     fn free(&self) -> Vec<Free<'_>> {
         let trouble = &self.trouble;
         let is_service = |spec: &JobSpec| spec.kind == JobKind::Service;
-        let any_stands = self.rules.jobs.values().any(is_service);
+        let any_service = self.rules.jobs.values().any(is_service);
         let well = |(id, worker): &(&MachineId, &Worker)| {
             let odd = [
                 &trouble.deaf,
@@ -389,7 +389,7 @@
                 && !worker.hung
                 && !odd.iter().any(|set| set.contains(id))
                 // Ordinary machines may be kept for services.
-                && (worker.spot || !any_stands)
+                && (worker.spot || !any_service)
         };
         let free = |(_, worker): (&MachineId, &Worker)| {
             let on = worker.tasks.values();
--- a/crates/worksshunt-core/tests/scenarios/combined_faults/mod.rs
+++ b/crates/worksshunt-core/tests/scenarios/combined_faults/mod.rs
@@ -1,7 +1,7 @@
 //! Faults that come together, one scenario for each.
 //!
 //! Troubles meet at a moment, so each scenario is told over a sweep of moments, with fixed seeds. Each asserts
-//! that its troubles took effect. `docs/combined_faults.md` says what the code relies on in each.
+//! that its troubles took effect. `docs/combined-faults.md` says what the code relies on in each.
 
 mod controllers;
 mod first;
