--- a/crates/worksshunt-core/src/controller/epochs.rs
+++ b/crates/worksshunt-core/src/controller/epochs.rs
@@ -152,14 +152,12 @@
             },
             StoreTag::CatchUp => self.caught_up(t, sent, reply, out),
             StoreTag::Load(epoch, step) => {
-                let loading = self.membership.state() == MemberState::Loading;
-                if loading && epoch == self.membership.token() {
+                if self.loads(epoch) {
                     self.load_answer((t, sent), step, reply, out);
                 }
             }
             StoreTag::LoadEnd(epoch, id) => {
-                let loading = self.membership.state() == MemberState::Loading;
-                if loading && epoch == self.membership.token() {
+                if self.loads(epoch) {
                     self.end_answer(t, id, reply, out);
                 }
             }
@@ -324,6 +322,11 @@
         store(out, tag, op);
     }
 
+    /// Whether it is that epoch's records that are being read.
+    fn loads(&self, epoch: Epoch) -> bool {
+        self.membership.state() == MemberState::Loading && epoch == self.membership.token()
+    }
+
     /// Asks how jobs on record that are not open have ended, some at a time.
     fn ask_for_ends(&mut self, out: &mut Vec<Action>) {
         while self.load.asked.len() < LOAD_FINALS_AT_ONCE {
--- a/crates/worksshunt-core/src/controller/leading.rs
+++ b/crates/worksshunt-core/src/controller/leading.rs
@@ -9,9 +9,7 @@
 use crate::fleet::CloudRequest;
 use crate::time::{Budget, Now, Time};
 
-use super::events::Action;
-use super::events::StoreOp;
-use super::events::StoreTag;
+use super::events::{Action, StoreOp, StoreTag};
 use super::{store, Controller, CATALOG_KEY};
 
 impl Controller {
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -221,7 +221,7 @@
                 out.push(Action::PeerReply(request, answer));
             }
             Event::Peer(request, PeerRequest::StoreHealth) => {
-                let well = now.steady.since(self.store_heard) < STORE_DOUBT_MS;
+                let well = self.store_answers(now.steady);
                 out.push(Action::PeerReply(request, PeerAnswer::StoreHealth(well)));
             }
             Event::Peer(request, PeerRequest::KnownEpoch { poll }) => {
--- a/crates/worksshunt-core/src/epoch_poll.rs
+++ b/crates/worksshunt-core/src/epoch_poll.rs
@@ -56,7 +56,7 @@
     }
 
     /// Notes a confirmation, and says whether it is the first since the state service last answered.
-    pub fn is_first_confirmation(&mut self) -> bool {
+    pub fn note_confirmation(&mut self) -> bool {
         !std::mem::replace(&mut self.confirmed_before, true)
     }
 
--- a/crates/worksshunt-core/src/scheduler/handout.rs
+++ b/crates/worksshunt-core/src/scheduler/handout.rs
@@ -1,5 +1,6 @@
 //! Rounds of handing out waiting tasks.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -102,7 +103,7 @@
         if !pressing.is_empty() {
             let within = self.within_guarantees();
             pressing
-                .sort_by_key(|work| (work.rank(now.wall_ms).priority, !within.contains(&id(work))));
+                .sort_by_key(|work| (Reverse(work.job.spec.priority), !within.contains(&id(work))));
         }
         let pressing_ids = pressing.iter().map(id).collect();
         let order = |pass, works: &[&Work]| -> Vec<(Pass, JobId)> {
--- a/crates/worksshunt-core/src/scheduler/work.rs
+++ b/crates/worksshunt-core/src/scheduler/work.rs
@@ -14,7 +14,7 @@
 /// A job's place in the order of service; the least comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
-    pub(super) priority: Reverse<Priority>,
+    priority: Reverse<Priority>,
     /// Whether waiting tasks can meet nothing any more that is expected of the job. Served before others of
     /// its priority it would only make them miss theirs too.
     missed: bool,
--- a/crates/worksshunt-core/tests/scenarios/combined_faults/mod.rs
+++ b/crates/worksshunt-core/tests/scenarios/combined_faults/mod.rs
@@ -23,6 +23,12 @@
 /// A cluster in which all tasks of so many jobs of four tasks each run, for so long.
 fn busy(jobs: u64, run_ms: u64) -> Cluster {
     let mut cluster = ready_with_boots_of(50.0);
+    fill(&mut cluster, jobs, run_ms);
+    cluster
+}
+
+/// Has all tasks of so many jobs of four tasks each run, for so long.
+pub fn fill(cluster: &mut Cluster, jobs: u64, run_ms: u64) {
     cluster.capacity = jobs as usize + 2;
     cluster.run_ms = run_ms;
     for id in 1..=jobs {
@@ -31,7 +37,6 @@
     let tasks = jobs as usize * 4;
     cluster.until("tasks", 30_000, |w| w.running().len() == tasks);
     cluster.run(3_000);
-    cluster
 }
 
 /// All troubles are over: whatever was accepted gets done, and the day is judged.
--- a/crates/worksshunt-core/tests/scenarios/order.rs
+++ b/crates/worksshunt-core/tests/scenarios/order.rs
@@ -14,6 +14,18 @@
     due
 }
 
+/// Which of these jobs gets the only machine when the four tasks end that keep it busy while they come.
+fn served_first(cluster: &mut Cluster, waiting: &[Value; 2]) -> JobId {
+    cluster.capacity = 1;
+    cluster.run_ms = 10_000;
+    cluster.submit(0, &due(1, 10.0, 60.0));
+    cluster.until("the first", 20_000, |w| w.running().len() == 4);
+    cluster.submit(1, &waiting[0]);
+    cluster.submit(2, &waiting[1]);
+    cluster.until("the next", 20_000, |w| w.starts.len() > 4);
+    cluster.starts[4].1.job
+}
+
 /// A full fleet of two machines, run by team blue (guarantee 8) at low priority.
 fn full_fleet(tasks: u32) -> Cluster {
     let mut cluster = ready();
@@ -106,15 +118,9 @@
     }
     (0..3).for_each(|node| cluster.start(node));
     cluster.run(3_000);
-    cluster.capacity = 1;
-    cluster.run_ms = 10_000;
-    cluster.submit(0, &due(1, 10.0, 60.0));
-    cluster.until("the first", 20_000, |w| w.running().len() == 4);
-    cluster.submit(1, &due(2, 300.0, 400.0));
-    cluster.submit(2, &due(3, 10.0, 150.0));
-    cluster.until("the next", 20_000, |w| w.starts.len() > 4);
+    let waiting = [due(2, 300.0, 400.0), due(3, 10.0, 150.0)];
     assert_eq!(
-        cluster.starts[4].1.job,
+        served_first(&mut cluster, &waiting),
         JobId(2),
         "40 s earlier than the other"
     );
@@ -137,15 +143,9 @@
 #[test]
 fn a_job_that_can_no_longer_meet_its_deadline_waits_for_one_that_can() {
     let mut cluster = ready();
-    cluster.capacity = 1;
-    cluster.run_ms = 10_000;
-    cluster.submit(0, &due(1, 10.0, 60.0));
-    cluster.until("the first", 20_000, |w| w.running().len() == 4);
-    cluster.submit(1, &due(2, 10.0, 11.0));
-    cluster.submit(2, &due(3, 10.0, 90.0));
-    cluster.until("the next", 20_000, |w| w.starts.len() > 4);
+    let waiting = [due(2, 10.0, 11.0), due(3, 10.0, 90.0)];
     assert_eq!(
-        cluster.starts[4].1.job,
+        served_first(&mut cluster, &waiting),
         JobId(3),
         "the other is late anyway"
     );
--- a/crates/worksshunt-core/tests/scenarios/outage.rs
+++ b/crates/worksshunt-core/tests/scenarios/outage.rs
@@ -6,8 +6,7 @@
 use worksshunt_wire::{Epoch, JobId, NodeName};
 
 use crate::cluster::Cluster;
-use crate::combined_faults::settle;
-use crate::long_job;
+use crate::combined_faults::{fill, settle};
 
 /// The lease of the scenarios' workers and the time for which an epoch that was confirmed last gives authority.
 const LEASE_AND_AUTHORITY_MS: u64 = 20_000;
@@ -29,12 +28,7 @@
     }
     cluster.until("an epoch", 10_000, |w| w.stored("c/epoch").is_some());
     cluster.run(3_000);
-    cluster.run_ms = 120_000;
-    for id in 1..=2 {
-        cluster.submit(0, &long_job(id, 4));
-    }
-    cluster.until("tasks", 30_000, |w| w.running().len() == 8);
-    cluster.run(3_000);
+    fill(&mut cluster, 2, 120_000);
     cluster
 }
 
@@ -207,8 +201,8 @@
 #[test]
 fn only_the_first_confirmation_of_an_outage_is_news() {
     let mut poll = EpochPoll::default();
-    assert!(poll.is_first_confirmation());
-    assert!(!poll.is_first_confirmation());
+    assert!(poll.note_confirmation());
+    assert!(!poll.note_confirmation());
     poll.state_service_answered();
-    assert!(poll.is_first_confirmation(), "another outage");
+    assert!(poll.note_confirmation(), "another outage");
 }
