Lanes and direct orders in files of their own; one copy of a write is kept, not two

Copies kept a clone of every transaction beside the one that its lane keeps; only submissions need one. No change of behaviour.

--- /dev/null
+++ b/crates/worksshunt-core/src/controller/lanes.rs
@@ -0,0 +1,159 @@
+//! The lanes in which an epoch's conditional writes leave, each within a share of the state service's limit.
+
+use std::collections::BTreeSet;
+
+use worksshunt_wire::settings::StateLimits;
+use worksshunt_wire::state::Txn;
+use worksshunt_wire::{JobId, MachineId, Revision};
+
+use crate::constants::*;
+use crate::time::{Bucket, Periodic, Time};
+
+use super::Lane;
+
+/// One write among the ends.
+#[derive(Debug, Clone)]
+pub(super) enum End {
+    Finish(JobId),
+    Claim(MachineId, bool),
+    Remove(String),
+}
+
+/// Counts the copies of the write under way. A second one is sent when the answer is slow: now and then one
+/// takes many times as long as the others, which nobody should have to wait for. Both can be applied only once,
+/// by the conditions they carry.
+#[derive(Debug, Default)]
+pub(super) struct Copies {
+    number: u64,
+    sent: Time,
+    /// Copies that are not answered.
+    out: u32,
+    repeated: bool,
+}
+
+impl Copies {
+    /// A write is sent; its number.
+    pub fn begin(&mut self, now: Time) -> u64 {
+        *self = Copies {
+            number: self.number + 1,
+            sent: now,
+            out: 1,
+            repeated: false,
+        };
+        self.number
+    }
+
+    /// The number of the write of which a second copy is to be sent now, if any.
+    pub fn repeat(&mut self, now: Time) -> Option<u64> {
+        if self.out != 1 || self.repeated || now.since(self.sent) < STORE_SLOW_MS {
+            return None;
+        }
+        self.repeated = true;
+        self.out += 1;
+        Some(self.number)
+    }
+
+    /// A copy was answered, `clearly` or not. Whether that settles the write of that number: an unclear
+    /// answer does only if no other is to come, and what comes after a clear one is of no interest.
+    pub fn settled(&mut self, number: u64, clearly: bool) -> bool {
+        if number != self.number || self.out == 0 {
+            return false;
+        }
+        self.out -= 1;
+        if clearly {
+            self.out = 0;
+        }
+        self.out == 0
+    }
+}
+
+/// One write at a time, within a share of the state service's limit.
+#[derive(Debug)]
+pub(super) struct Line {
+    pub turn: Periodic,
+    pub copies: Copies,
+    pub under_way: Option<Txn>,
+    pub writes: Bucket,
+}
+
+impl Line {
+    fn new(writes: Bucket) -> Line {
+        Line {
+            turn: Periodic::default(),
+            copies: Copies::default(),
+            under_way: None,
+            writes,
+        }
+    }
+
+    /// Starts anew in an epoch.
+    fn begin(&mut self) {
+        self.turn = Periodic::default();
+        self.under_way = None;
+    }
+}
+
+/// The lanes, and the shares of the state service's limit that they keep to.
+pub(super) struct Lanes {
+    records: Line,
+    pages: Line,
+    pub ends: Line,
+    pub intake: Line,
+    /// The page of jobs that was last dealt with, until the mirror shows what has become of it.
+    pub intake_done: Option<(String, Revision)>,
+    /// Jobs on pages that have a key of their own by now, or are over.
+    pub settled: BTreeSet<JobId>,
+    pub refresh: Periodic,
+    pub ending: Vec<End>,
+    write_rps: f64,
+    pub txn_ops: usize,
+    /// For submissions and cancellations.
+    pub user_writes: Bucket,
+}
+
+impl Lanes {
+    pub fn new(state: &StateLimits) -> Lanes {
+        let share = |share: f64, burst: usize| Bucket::new(state.write_rps * share, burst as f64);
+        Lanes {
+            records: Line::new(share(RECORD_SHARE, PAGES_AT_ONCE)),
+            pages: Line::new(share(PAGE_SHARE, PAGES_AT_ONCE)),
+            ends: Line::new(share(END_SHARE, state.txn_ops)),
+            intake: Line::new(share(INTAKE_SHARE, state.txn_ops)),
+            intake_done: None,
+            settled: BTreeSet::new(),
+            refresh: Periodic::default(),
+            ending: Vec::new(),
+            write_rps: state.write_rps,
+            txn_ops: state.txn_ops,
+            user_writes: share(USER_WRITE_SHARE, state.txn_ops),
+        }
+    }
+
+    /// Starts anew in an epoch with so many owners.
+    pub fn begin(&mut self, owners: usize) {
+        let rate = self.write_rps * RECORD_SHARE / owners.max(1) as f64;
+        self.records = Line::new(Bucket::new(rate, PAGES_AT_ONCE as f64));
+        self.pages.begin();
+        self.ends.begin();
+        self.intake.begin();
+        self.intake_done = None;
+        self.settled.clear();
+        self.refresh = Periodic::default();
+        self.ending.clear();
+    }
+
+    /// Pages that a write of the lane may have now.
+    pub fn pages_at_once(&mut self, lane: Lane, now: Time) -> usize {
+        let most = PAGES_AT_ONCE.min(self.txn_ops);
+        self.line(lane).writes.available(now).min(most)
+    }
+
+    pub fn line(&mut self, lane: Lane) -> &mut Line {
+        match lane {
+            Lane::Records => &mut self.records,
+            Lane::Pages => &mut self.pages,
+            Lane::Ends => &mut self.ends,
+            Lane::Intake => &mut self.intake,
+        }
+    }
+}
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -2,6 +2,7 @@
 
 mod epochs;
 mod events;
+mod lanes;
 mod leading;
 mod outage;
 mod requests;
@@ -12,6 +13,7 @@
 use worksshunt_wire::cloud::Catalog;
 use worksshunt_wire::peer::{PeerAnswer, PeerRequest};
 use worksshunt_wire::settings::{Settings, Workers};
+use worksshunt_wire::state::Txn;
 use worksshunt_wire::{Epoch, JobId, NodeName};
 
 use crate::constants::*;
@@ -28,7 +30,7 @@
 
 use epochs::Load;
 pub use events::{Action, CloudReply, Event, Lane, Loading, StoreOp, StoreReply, StoreTag};
-use writes::{Copies, Lanes};
+use lanes::{Copies, Lanes};
 
 /// Whether this controller is fit to own machines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -99,6 +101,7 @@
     catch_up_turn: Periodic,
     accept_turn: Periodic,
     accept_copies: Copies,
+    accept_under_way: Txn,
     sync_turn: Periodic,
     sync_last: Time,
     catalog_turn: Periodic,
@@ -164,6 +167,7 @@
             catch_up_turn: Periodic::default(),
             accept_turn: Periodic::default(),
             accept_copies: Copies::default(),
+            accept_under_way: Txn::default(),
             sync_turn: Periodic::default(),
             sync_last: Time::default(),
             catalog_turn: Periodic::default(),
--- a/crates/worksshunt-core/src/controller/requests.rs
+++ b/crates/worksshunt-core/src/controller/requests.rs
@@ -12,6 +12,7 @@
 use crate::time::{Now, Time};
 use crate::users::{accepted, resolve, settled, Ask, Question, Reply, RequestId, Step, Submission};
 
+use super::writes::second_copy;
 use super::{store, Action, CloudReply, Controller, StoreOp, StoreReply, StoreTag};
 
 impl Controller {
@@ -34,10 +35,10 @@
             self.reads.take(1);
             store(out, StoreTag::Learn(id), StoreOp::Get(final_key(id)));
         }
-        if let Some((number, txn, deadline_ms)) = self.accept_copies.repeat(now) {
+        if let Some(number) = self.accept_copies.repeat(now) {
+            let txn = &self.accept_under_way;
             self.lanes.user_writes.take(txn.changes.len());
-            let tag = StoreTag::Accept(number);
-            out.push(Action::Store(tag, StoreOp::Txn(txn), deadline_ms));
+            out.push(second_copy(StoreTag::Accept(number), txn));
         }
         if self.accept_turn.due(now) && self.users.wants_accept() {
             let limits = &self.settings.facts.state;
@@ -53,7 +54,8 @@
             if let Some(txn) = txn {
                 self.lanes.user_writes.take(txn.changes.len());
                 self.accept_turn.sent(now, 0);
-                let number = self.accept_copies.begin(now, &txn);
+                let number = self.accept_copies.begin(now);
+                self.accept_under_way = txn.clone();
                 store(out, StoreTag::Accept(number), StoreOp::Txn(txn));
             }
         }
--- a/crates/worksshunt-core/src/controller/writes.rs
+++ b/crates/worksshunt-core/src/controller/writes.rs
@@ -4,31 +4,21 @@
 //! changes where a late copy could do harm. A write without a clear answer is repeated unchanged:
 //! whatever happens to its copies, it is applied once or never.
 
-use std::collections::BTreeSet;
-
-use worksshunt_wire::settings::StateLimits;
 use worksshunt_wire::state::{Change, Condition, Txn};
-use worksshunt_wire::{JobId, MachineId, Revision};
+use worksshunt_wire::{JobId, Revision};
 
 use crate::constants::*;
 use crate::jobs::{final_key, final_value, is_intake, job_of, open_key};
 use crate::membership::EPOCH;
 use crate::pages::PageWrite;
 use crate::scheduler::{claim_key, Due};
-use crate::time::{Bucket, Periodic, Time};
+use crate::time::Time;
 use crate::users::Ask;
 
+use super::lanes::{End, Lanes};
 use super::{store, Action, Controller, Lane, StoreOp, StoreReply, StoreTag};
 use worksshunt_wire::user::JobState;
 
-/// One write among the ends.
-#[derive(Debug, Clone)]
-enum End {
-    Finish(JobId),
-    Claim(MachineId, bool),
-    Remove(String),
-}
-
 /// What became of a write.
 enum Outcome {
     /// It was applied, at that revision if it is known.
@@ -39,148 +29,6 @@
     Unclear,
 }
 
-/// The write under way and the copy of it that is sent when the answer is slow: now and then one takes many
-/// times as long as the others, which nobody should have to wait for. Both can be applied only once, by
-/// the conditions they carry.
-#[derive(Debug, Default)]
-pub(super) struct Copies {
-    number: u64,
-    sent: Time,
-    txn: Txn,
-    /// Copies that are not answered.
-    out: u32,
-    repeated: bool,
-}
-
-impl Copies {
-    /// A write is sent; its number.
-    pub fn begin(&mut self, now: Time, txn: &Txn) -> u64 {
-        *self = Copies {
-            number: self.number + 1,
-            sent: now,
-            txn: txn.clone(),
-            out: 1,
-            repeated: false,
-        };
-        self.number
-    }
-
-    /// The copy to be sent now, if any, with its number and deadline.
-    pub fn repeat(&mut self, now: Time) -> Option<(u64, Txn, u64)> {
-        if self.out != 1 || self.repeated || now.since(self.sent) < STORE_SLOW_MS {
-            return None;
-        }
-        self.repeated = true;
-        self.out += 1;
-        let deadline_ms = STORE_DEADLINE_MS - STORE_SLOW_MS;
-        Some((self.number, self.txn.clone(), deadline_ms))
-    }
-
-    /// A copy was answered, `clearly` or not. Whether that settles the write of that number: an unclear
-    /// answer does only if no other is to come, and what comes after a clear one is of no interest.
-    pub fn settled(&mut self, number: u64, clearly: bool) -> bool {
-        if number != self.number || self.out == 0 {
-            return false;
-        }
-        self.out -= 1;
-        if clearly {
-            self.out = 0;
-        }
-        self.out == 0
-    }
-}
-
-/// One write at a time, within a share of the state service's limit.
-#[derive(Debug)]
-struct Line {
-    turn: Periodic,
-    copies: Copies,
-    under_way: Option<Txn>,
-    writes: Bucket,
-}
-
-impl Line {
-    fn new(writes: Bucket) -> Line {
-        Line {
-            turn: Periodic::default(),
-            copies: Copies::default(),
-            under_way: None,
-            writes,
-        }
-    }
-
-    /// Starts anew in an epoch.
-    fn begin(&mut self) {
-        self.turn = Periodic::default();
-        self.under_way = None;
-    }
-}
-
-/// The lanes, and the shares of the state service's limit that they keep to.
-pub(super) struct Lanes {
-    records: Line,
-    pages: Line,
-    ends: Line,
-    intake: Line,
-    /// The page of jobs that was last dealt with, until the mirror shows what has become of it.
-    intake_done: Option<(String, Revision)>,
-    /// Jobs on pages that have a key of their own by now, or are over.
-    settled: BTreeSet<JobId>,
-    refresh: Periodic,
-    ending: Vec<End>,
-    write_rps: f64,
-    txn_ops: usize,
-    /// For submissions and cancellations.
-    pub user_writes: Bucket,
-}
-
-impl Lanes {
-    pub fn new(state: &StateLimits) -> Lanes {
-        let share = |share: f64, burst: usize| Bucket::new(state.write_rps * share, burst as f64);
-        Lanes {
-            records: Line::new(share(RECORD_SHARE, PAGES_AT_ONCE)),
-            pages: Line::new(share(PAGE_SHARE, PAGES_AT_ONCE)),
-            ends: Line::new(share(END_SHARE, state.txn_ops)),
-            intake: Line::new(share(INTAKE_SHARE, state.txn_ops)),
-            intake_done: None,
-            settled: BTreeSet::new(),
-            refresh: Periodic::default(),
-            ending: Vec::new(),
-            write_rps: state.write_rps,
-            txn_ops: state.txn_ops,
-            user_writes: share(USER_WRITE_SHARE, state.txn_ops),
-        }
-    }
-
-    /// Starts anew in an epoch with so many owners.
-    pub fn begin(&mut self, owners: usize) {
-        let rate = self.write_rps * RECORD_SHARE / owners.max(1) as f64;
-        self.records = Line::new(Bucket::new(rate, PAGES_AT_ONCE as f64));
-        self.pages.begin();
-        self.ends.begin();
-        self.intake.begin();
-        self.intake_done = None;
-        self.settled.clear();
-        self.refresh = Periodic::default();
-        self.ending.clear();
-    }
-
-    /// Pages that a write of the lane may have now.
-    fn pages_at_once(&mut self, lane: Lane, now: Time) -> usize {
-        let most = PAGES_AT_ONCE.min(self.txn_ops);
-        self.line(lane).writes.available(now).min(most)
-    }
-
-    fn line(&mut self, lane: Lane) -> &mut Line {
-        match lane {
-            Lane::Records => &mut self.records,
-            Lane::Pages => &mut self.pages,
-            Lane::Ends => &mut self.ends,
-            Lane::Intake => &mut self.intake,
-        }
-    }
-}
-
 impl Controller {
     /// Sends what has to be written now.
     pub(super) fn write_turns(&mut self, now: Time, out: &mut Vec<Action>) {
@@ -199,10 +47,10 @@
         if line.turn.in_flight {
             // Launches wait for records. The other lanes can wait.
             let repeat = (lane == Lane::Records).then(|| line.copies.repeat(now));
-            if let Some((number, txn, deadline_ms)) = repeat.flatten() {
+            if let (Some(number), Some(txn)) = (repeat.flatten(), &line.under_way) {
                 line.writes.take(txn.changes.len());
                 let tag = StoreTag::Write(lane, token, number);
-                out.push(Action::Store(tag, StoreOp::Txn(txn), deadline_ms));
+                out.push(second_copy(tag, txn));
             }
         }
         if !line.turn.due(now) {
@@ -233,7 +81,7 @@
         };
         line.turn.sent(now, 0);
         line.writes.take(txn.changes.len());
-        let number = line.copies.begin(now, &txn);
+        let number = line.copies.begin(now);
         store(out, StoreTag::Write(lane, token, number), StoreOp::Txn(txn));
     }
 
@@ -525,6 +373,12 @@
     }
 }
 
+/// A second copy of a write, which is given up when the first one is.
+pub(super) fn second_copy(tag: StoreTag, txn: &Txn) -> Action {
+    let deadline_ms = STORE_DEADLINE_MS - STORE_SLOW_MS;
+    Action::Store(tag, StoreOp::Txn(txn.clone()), deadline_ms)
+}
+
 /// The jobs that a transaction gives keys of their own.
 fn opened(txn: &Txn) -> Vec<JobId> {
     let put = |change: &Change| matches!(change, Change::Put { .. });
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod loading;
 mod machine;
+mod orders;
 mod placing;
 mod reports;
 
@@ -33,8 +34,8 @@
 
 use exchange::Outgoing;
 use machine::{AttemptState, Machine, Patience, TrackedAttempt};
+pub use orders::{DirectOrders, OrdersReply};
 use reports::Sightings;
-pub use reports::{DirectOrders, OrdersReply};
 
 #[derive(Debug, Clone)]
 struct Queued {
