The simulated cluster is a package; it counts messages and judges thousands of machines

Need: measurements and scenarios at 4,000 machines. Rates of the state service and the cloud, pages of the machine list and the largest frame are modelled.

--- a/crates/worksshunt-core/tests/scenarios/combined_faults/controllers.rs
+++ b/crates/worksshunt-core/tests/scenarios/combined_faults/controllers.rs
@@ -5,8 +5,8 @@
 use worksshunt_wire::JobId;
 
 use super::{busy, machines_of, others, red, settle};
-use crate::cluster::{job, LateWrites};
 use crate::{long_job, ready, ready_with_boots_of};
+use worksshunt_simulation::{job, LateWrites};
 
 // Guards against answers that come after their sender has given up, taken for none.
 #[test]
--- a/crates/worksshunt-core/tests/scenarios/combined_faults/first.rs
+++ b/crates/worksshunt-core/tests/scenarios/combined_faults/first.rs
@@ -3,8 +3,8 @@
 use worksshunt_wire::JobId;
 
 use super::{busy, machines_of, others, red, settle};
-use crate::cluster::{job, LateWrites};
 use crate::{long_job, ready, ready_with_boots_of};
+use worksshunt_simulation::{job, LateWrites};
 
 // Guards against a leader that goes on renewing leases of tasks whose cancellation it cannot know.
 #[test]
--- a/crates/worksshunt-core/tests/scenarios/combined_faults/mod.rs
+++ b/crates/worksshunt-core/tests/scenarios/combined_faults/mod.rs
@@ -10,8 +10,8 @@
 use serde_json::{json, Value};
 use worksshunt_wire::{JobId, MachineId};
 
-use crate::cluster::{Cluster, Troubles};
 use crate::{long_job, ready_with_boots_of};
+use worksshunt_simulation::{Cluster, Troubles};
 
 /// A job of team red, whose limit is eight processors.
 fn red(id: u64, tasks: u32) -> Value {
--- a/crates/worksshunt-core/tests/scenarios/main.rs
+++ b/crates/worksshunt-core/tests/scenarios/main.rs
@@ -1,6 +1,5 @@
 //! Short scenarios about whole deployments on virtual time.
 
-mod cluster;
 mod combined_faults;
 mod mixed;
 mod order;
@@ -11,8 +10,8 @@
 mod troubles;
 mod upgrade;
 
-use cluster::{job, Cluster};
 use serde_json::json;
+use worksshunt_simulation::{job, Cluster};
 
 /// A cluster in which an epoch has begun.
 fn ready() -> Cluster {
--- a/crates/worksshunt-core/tests/scenarios/mixed.rs
+++ b/crates/worksshunt-core/tests/scenarios/mixed.rs
@@ -7,9 +7,9 @@
 use serde_json::json;
 use worksshunt_wire::{JobId, MachineId};
 
-use crate::cluster::{job, Cluster, LateWrites};
 use crate::combined_faults::settle;
 use crate::long_job;
+use worksshunt_simulation::{job, Cluster, LateWrites};
 
 /// Draws for one day.
 struct Dice(fastrand::Rng);
--- a/crates/worksshunt-core/tests/scenarios/order.rs
+++ b/crates/worksshunt-core/tests/scenarios/order.rs
@@ -3,8 +3,8 @@
 use serde_json::{json, Value};
 use worksshunt_wire::JobId;
 
-use crate::cluster::{job, Cluster};
 use crate::{long_job, ready};
+use worksshunt_simulation::{job, Cluster};
 
 /// A job of four tasks with an estimate and a deadline.
 fn due(id: u64, estimate_s: f64, deadline_s: f64) -> Value {
--- a/crates/worksshunt-core/tests/scenarios/ordinary.rs
+++ b/crates/worksshunt-core/tests/scenarios/ordinary.rs
@@ -5,8 +5,8 @@
 use worksshunt_core::placement::owner;
 use worksshunt_wire::{JobId, NodeName, TaskId};
 
-use crate::cluster::job;
 use crate::{long_job, ready, ready_with_boots_of};
+use worksshunt_simulation::job;
 
 #[test]
 fn a_job_runs_to_its_end_and_every_controller_says_so() {
--- a/crates/worksshunt-core/tests/scenarios/outage.rs
+++ b/crates/worksshunt-core/tests/scenarios/outage.rs
@@ -5,8 +5,8 @@
 use worksshunt_wire::peer::KnownEpoch;
 use worksshunt_wire::{Epoch, JobId, NodeName};
 
-use crate::cluster::Cluster;
 use crate::combined_faults::{fill, settle};
+use worksshunt_simulation::Cluster;
 
 /// The lease of the scenarios' workers and the time for which an epoch that was confirmed last gives authority.
 const LEASE_AND_AUTHORITY_MS: u64 = 20_000;
--- a/crates/worksshunt-core/tests/scenarios/rules.rs
+++ b/crates/worksshunt-core/tests/scenarios/rules.rs
@@ -6,9 +6,9 @@
 use worksshunt_core::users::{Reply, RequestId};
 use worksshunt_wire::{JobId, MachineId, TaskId};
 
-use crate::cluster::rules::{Question, Rules};
-use crate::cluster::{job, settings, Cluster};
 use crate::{long_job, ready};
+use worksshunt_simulation::rules::{Question, Rules};
+use worksshunt_simulation::{job, settings, Cluster};
 
 fn rules() -> Rules {
     let mut rules = Rules::default();
--- a/crates/worksshunt-core/tests/scenarios/services.rs
+++ b/crates/worksshunt-core/tests/scenarios/services.rs
@@ -5,8 +5,8 @@
 use serde_json::json;
 use worksshunt_wire::{JobId, MachineId};
 
-use crate::cluster::{job, service, Cluster};
 use crate::long_job;
+use worksshunt_simulation::{job, service, Cluster};
 
 /// A cluster in which every controller is known to understand services.
 fn ready() -> Cluster {
--- a/crates/worksshunt-core/tests/scenarios/troubles.rs
+++ b/crates/worksshunt-core/tests/scenarios/troubles.rs
@@ -7,8 +7,8 @@
 use worksshunt_core::controller::Event;
 use worksshunt_wire::{JobId, MachineId, TaskId};
 
-use crate::cluster::{job, Cluster};
 use crate::{long_job, ready, ready_with_boots_of};
+use worksshunt_simulation::{job, Cluster};
 
 fn starts_on(cluster: &Cluster, id: &MachineId) -> usize {
     cluster.starts.iter().filter(|s| s.2 == *id).count()
--- a/crates/worksshunt-core/tests/scenarios/upgrade.rs
+++ b/crates/worksshunt-core/tests/scenarios/upgrade.rs
@@ -15,8 +15,8 @@
 use worksshunt_wire::state::Pair;
 use worksshunt_wire::{JobId, Revision};
 
-use crate::cluster::{job, service, Cluster};
 use crate::{long_job, ready};
+use worksshunt_simulation::{job, service, Cluster};
 
 fn production_store() -> BTreeMap<String, Value> {
     serde_json::from_str(include_str!("samples/production-store.json")).expect("JSON")
--- /dev/null
+++ b/crates/worksshunt-simulation/src/census.rs
@@ -0,0 +1,65 @@
+//! What is on machines at one moment, by job.
+
+use std::collections::BTreeMap;
+
+use worksshunt_wire::{JobId, MachineId, TaskId};
+
+use crate::rules::Seen;
+
+/// A task on a machine.
+#[derive(Debug, Clone)]
+pub struct Counted {
+    /// The task.
+    pub task: TaskId,
+    /// Its machine.
+    pub machine: MachineId,
+    /// The machine's zone.
+    pub zone: String,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+}
+
+/// What is on machines at one moment. What starts in the same moment is added; what ends in it is not
+/// taken out, since no controller can have heard of that yet.
+#[derive(Debug, Default)]
+pub struct Census {
+    at: u64,
+    by_job: BTreeMap<JobId, Vec<Counted>>,
+}
+
+impl Census {
+    /// Counts what is there.
+    pub fn new(at: u64, on: &[Seen]) -> Census {
+        let mut census = Census {
+            at,
+            by_job: BTreeMap::new(),
+        };
+        on.iter().for_each(|seen| census.add(seen));
+        census
+    }
+
+    /// Whether it was taken at that moment.
+    pub fn is_of(&self, now: u64) -> bool {
+        self.at == now
+    }
+
+    /// Adds a task that has started since.
+    pub fn add(&mut self, seen: &Seen) {
+        self.by_job.entry(seen.task.job).or_default().push(Counted {
+            task: seen.task,
+            machine: seen.machine.clone(),
+            zone: seen.zone.to_owned(),
+            spot: seen.spot,
+        });
+    }
+
+    /// Tasks of a job on machines.
+    pub fn of_job(&self, id: JobId) -> &[Counted] {
+        self.by_job.get(&id).map_or(&[], Vec::as_slice)
+    }
+
+    /// Jobs with tasks on machines, and how many.
+    pub fn jobs(&self) -> impl Iterator<Item = (&JobId, usize)> {
+        self.by_job.iter().map(|(id, on)| (id, on.len()))
+    }
+}
--- a/crates/worksshunt-core/tests/scenarios/cluster/controllers.rs
+++ b/crates/worksshunt-simulation/src/controllers.rs
@@ -1,5 +1,7 @@
 //! The controllers of the cluster: their starts, ends and pauses.
 
+use std::time::Instant;
+
 use worksshunt_core::controller::{Controller, Event};
 use worksshunt_core::placement::Parameters;
 use worksshunt_core::time::{Now, Time};
@@ -83,7 +85,12 @@
             steady,
             wall_ms: WALL_MS + now,
         };
+        let kind = Meter::kind(&event);
+        let began = Instant::now();
         let actions = state.controller.handle(at, event, &|| steady);
+        if let Some(took) = &mut self.meter.took {
+            took.entry(kind).or_default().push(began.elapsed());
+        }
         if let Some(frozen) = self.frozen.get_mut(&node) {
             frozen.decided = Some((life, steady, actions));
             return;
--- a/crates/worksshunt-core/tests/scenarios/cluster/fixtures.rs
+++ b/crates/worksshunt-simulation/src/fixtures.rs
@@ -5,6 +5,7 @@
 use worksshunt_wire::settings::Settings;
 use worksshunt_wire::JobId;
 
+/// Settings of one of three controllers of a small deployment.
 pub fn settings(name: usize) -> Settings {
     let peer = |n: usize| json!({"host_name": format!("n{n}"), "site": "a", "endpoint": format!("10.0.0.{n}:1")});
     let known: Vec<Value> = (0..3).filter(|n| *n != name).map(peer).collect();
@@ -27,6 +28,27 @@
     .expect("settings")
 }
 
+/// Settings of one of three controllers of a deployment of so many machines. Teams and sockets grow with it;
+/// the limits of the state service and the cloud are those of the users' deployments of 1,200 machines.
+pub fn large_settings(name: usize, machines: usize) -> Settings {
+    let mut settings = settings(name);
+    let cpus = machines as f64 * super::MACHINE_CPUS;
+    for team in &mut settings.facts.teams {
+        let share = if team.name.0 == "red" { 0.25 } else { 0.5 };
+        team.cpus = cpus * share / 2.0;
+        team.cpus_max = if team.name.0 == "white" {
+            0.0
+        } else {
+            cpus * share
+        };
+    }
+    settings.facts.state.rps = 500.0;
+    settings.facts.state.write_rps = 60.0;
+    settings.facts.cloud.rps = 8.0;
+    settings.facts.limits.sockets = machines * 3;
+    settings
+}
+
 pub(super) fn catalog(ready_s: f64) -> Catalog {
     serde_json::from_value(json!({"Modelos": [
         {"Name": "m4", "Cores": 4, "Gpus": 0, "RamGb": 16, "Rate": 1.0, "LowPrice": 0.4,
--- a/crates/worksshunt-core/tests/scenarios/cluster/mod.rs
+++ b/crates/worksshunt-simulation/src/lib.rs
@@ -4,10 +4,12 @@
 //! scenarios set and clear, and that go together in any way. Everything in it is deterministic; what is drawn
 //! is drawn from the cluster's seed.
 
+mod census;
 mod cloud;
 mod controllers;
 mod fixtures;
 mod inspection;
+mod meter;
 mod network;
 pub mod rules;
 mod state_service;
@@ -20,7 +22,7 @@
 use worksshunt_core::controller::{Action, Controller, Event, StoreOp, StoreReply, StoreTag};
 use worksshunt_core::fleet::CloudRequest;
 use worksshunt_core::machines::DirectOrders;
-use worksshunt_core::time::Time;
+use worksshunt_core::time::{Bucket, Time};
 use worksshunt_core::users::{Reply, RequestId};
 use worksshunt_wire::cloud::MachineNames;
 use worksshunt_wire::peer::PeerRequest;
@@ -30,8 +32,10 @@
 use worksshunt_wire::worker::{Command, Report, TaskState};
 use worksshunt_wire::{Attempt, JobId, MachineId, Revision, TaskId};
 
+use census::Census;
 use fixtures::catalog;
-pub use fixtures::{job, service, settings};
+pub use fixtures::{job, large_settings, service, settings};
+pub use meter::Meter;
 use state_service::Store;
 pub use troubles::{LateWrites, Troubles};
 use workers::Task;
@@ -126,8 +130,11 @@
     }
 }
 
+/// A deployment on virtual time.
 pub struct Cluster {
+    /// Milliseconds since its beginning.
     pub now: u64,
+    /// Settings of its controllers.
     pub settings: Vec<Settings>,
     nodes: Vec<Option<Node>>,
     lives: u64,
@@ -137,10 +144,24 @@
     /// The state service was down when last looked at.
     was_down: bool,
     watches: Vec<Watch>,
+    /// Machines rented, up or not.
     pub workers: BTreeMap<MachineId, Worker>,
+    /// What judges it.
     pub rules: Rules,
+    /// What is on machines, as of the starts of this moment.
+    census: Option<Census>,
+    /// What has passed between its members.
+    pub meter: Meter,
+    /// What the state service takes a second, requests and changes; none: any number.
+    pub state_rates: Option<(Bucket, Bucket)>,
+    /// What the cloud takes a second; none: any number.
+    pub cloud_rate: Option<Bucket>,
+    /// Workers act at multiples of so many ms, so that thousands of them act at few moments.
+    pub worker_step_ms: u64,
     rng: fastrand::Rng,
+    /// Machines that the cloud has.
     pub capacity: usize,
+    /// How long a task runs.
     pub run_ms: u64,
     /// How much longer each task runs than the one before it, in groups of eight.
     pub run_spread_ms: u64,
@@ -155,6 +176,7 @@
     requests: u64,
     waiting: BTreeMap<(usize, u64, RequestId), Waiting>,
     user_replies: Vec<Option<Reply>>,
+    /// How it departs from a quiet day.
     pub trouble: Troubles,
     held_txns: Vec<StoreOp>,
     /// Transactions that could be slow.
@@ -173,6 +195,7 @@
     pub too_large: usize,
     /// Every start of a task: when, which, where.
     pub starts: Vec<(u64, TaskId, MachineId)>,
+    /// Machines returned to the cloud.
     pub returned: Vec<MachineId>,
     rentals: BTreeMap<String, MachineNames>,
     /// Every attempt launched, with its task and machine.
@@ -181,9 +204,20 @@
     machines_made: u64,
 }
 
+impl Default for Cluster {
+    fn default() -> Cluster {
+        Cluster::new()
+    }
+}
+
 impl Cluster {
     /// Three controllers and nothing else yet.
     pub fn new() -> Cluster {
+        Cluster::with_settings(settings)
+    }
+
+    /// Three controllers with these settings and nothing else yet.
+    pub fn with_settings(settings: impl Fn(usize) -> Settings) -> Cluster {
         let mut cluster = Cluster {
             now: 0,
             settings: (0..3).map(settings).collect(),
@@ -196,6 +230,11 @@
             watches: Vec::new(),
             workers: BTreeMap::new(),
             rules: Rules::default(),
+            census: None,
+            meter: Meter::default(),
+            state_rates: None,
+            cloud_rate: None,
+            worker_step_ms: 1,
             rng: fastrand::Rng::with_seed(1),
             capacity: 10,
             run_ms: 8_000,
@@ -368,7 +407,8 @@
             let hopeless = &self.trouble.failing;
             let all_up = self.nodes.iter().all(Option::is_some) && self.frozen.is_empty();
             let quiet = self.trouble.none() && all_up;
-            rules.look_for_waiting(self.now, quiet, &self.seen(), &self.free(), hopeless);
+            let census = Census::new(self.now, &self.seen());
+            rules.look_for_waiting(self.now, quiet, &census, &self.free(), hopeless);
         }
         self.rules = rules;
     }
--- a/crates/worksshunt-core/tests/scenarios/cluster/network.rs
+++ b/crates/worksshunt-simulation/src/network.rs
@@ -1,6 +1,6 @@
 //! What passes between controllers, services and workers, and when.
 
-use worksshunt_core::constants::{SYNC_DEADLINE_MS, TICK_MS};
+use worksshunt_core::constants::{FRAME_BYTES, SYNC_DEADLINE_MS, TICK_MS};
 use worksshunt_core::controller::{Action, Event, StoreOp};
 use worksshunt_core::machines::OrdersReply;
 use worksshunt_core::time::Time;
@@ -19,13 +19,24 @@
                 self.at(hop, what);
             }
             Action::Cloud(request) => self.at(hop + 100, Happening::Cloud(node, life, request)),
-            Action::Orders(orders) => self.at(hop, Happening::Orders(node, life, orders)),
+            Action::Orders(orders) => {
+                self.meter.orders += 1;
+                self.at(hop, Happening::Orders(node, life, orders));
+            }
             Action::Peer(to, request) => {
                 let to: usize = to.0[1..].parse().expect("a number");
                 let id = self.request();
                 if let PeerRequest::Sync(_) = request {
                     let silence = Happening::PeerSilence(node, life, id.0);
                     self.at(self.now + SYNC_DEADLINE_MS, silence);
+                    if self.meter.sync(&request) > FRAME_BYTES {
+                        // Its reader refuses it, and it is not answered.
+                        self.meter.frames_dropped += 1;
+                        let event = Box::new(Event::PeerAnswer(None));
+                        let when = self.now + SYNC_DEADLINE_MS;
+                        self.at(when, Happening::Dispatch(node, life, event));
+                        return;
+                    }
                 }
                 self.at(hop, Happening::PeerAsk(node, life, to, id, request));
             }
--- a/crates/worksshunt-core/tests/scenarios/cluster/rules.rs
+++ b/crates/worksshunt-simulation/src/rules.rs
@@ -12,6 +12,8 @@
 use worksshunt_wire::user::JobSpec;
 use worksshunt_wire::{JobId, MachineId, TaskId};
 
+use crate::census::Census;
+
 /// How long a job may wait beside a machine with room, ms.
 pub const WAITS_MOST_MS: u64 = 90_000;
 /// How long questions about an accepted job may go unanswered once troubles are over, ms.
@@ -20,6 +22,7 @@
 /// What a user asked, and when. Questions and answers are numbered in one order.
 #[derive(Debug, Clone)]
 pub struct Question {
+    /// The job it is about.
     pub id: Option<JobId>,
     submits: bool,
     order: u64,
@@ -48,29 +51,39 @@
 /// A task on a machine, as it is there.
 #[derive(Debug, Clone)]
 pub struct Seen<'a> {
+    /// The task.
     pub task: TaskId,
+    /// Its machine.
     pub machine: &'a MachineId,
+    /// The machine's zone.
     pub zone: &'a str,
+    /// Whether it is a spot machine.
     pub spot: bool,
 }
 
 /// Room on a machine that could take a task.
 #[derive(Debug)]
 pub struct Free<'a> {
+    /// The machine's zone.
     pub zone: &'a str,
+    /// Whether it is a spot machine.
     pub spot: bool,
+    /// Free processors.
     pub cpus: f64,
 }
 
+/// What judges a cluster.
 #[derive(Debug, Default)]
 pub struct Rules {
     cancel_ms: u64,
     limits: BTreeMap<String, f64>,
+    /// Jobs as first submitted.
     pub jobs: BTreeMap<JobId, JobSpec>,
     histories: BTreeMap<JobId, History>,
     completed: BTreeSet<TaskId>,
     starts: BTreeMap<JobId, usize>,
     order: u64,
+    /// Rules that were broken.
     pub broken: Vec<String>,
     /// Starts of tasks after their user was told that the job is cancelled.
     pub starts_after_cancel: usize,
@@ -234,6 +247,7 @@
         self.completed.insert(task);
     }
 
+    /// Whether a task has completed.
     pub fn has_completed(&self, task: TaskId) -> bool {
         self.completed.contains(&task)
     }
@@ -253,10 +267,11 @@
         }
     }
 
-    /// A task starts; `on` is all that is on machines, itself included.
-    pub fn started(&mut self, now: u64, task: TaskId, machine: &MachineId, on: &[Seen]) {
+    /// A task starts; `census` is all that is on machines, itself included.
+    pub fn started(&mut self, now: u64, task: TaskId, machine: &MachineId, census: &Census) {
         *self.starts.entry(task.job).or_default() += 1;
-        if on.iter().any(|o| o.machine != machine && o.task == task) {
+        let on = census.of_job(task.job);
+        if on.iter().any(|o| o.machine != *machine && o.task == task) {
             self.broke("ran_twice", &format!("{task}"));
         }
         let Some(spec) = self.jobs.get(&task.job).cloned() else {
@@ -267,10 +282,10 @@
             self.starts_after_cancel += 1;
         }
         let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
-        for other in on.iter().filter(|other| other.task.job == task.job) {
-            *zones.entry(other.zone).or_default() += 1;
-            if other.machine == machine
-                && (spec.zone.as_ref().is_some_and(|zone| zone != other.zone)
+        for other in on {
+            *zones.entry(&other.zone).or_default() += 1;
+            if other.machine == *machine
+                && (spec.zone.as_ref().is_some_and(|zone| *zone != other.zone)
                     || (other.spot && !spec.spot))
             {
                 self.broke("wrong_place", &format!("{task}"));
@@ -281,18 +296,18 @@
         if crowded || (spec.one_zone && zones.len() > 1) {
             self.broke("wrong_place", &format!("{task}: zones {zones:?}"));
         }
-        for (team, used) in self.used(on) {
+        for (team, used) in self.used(census) {
             if self.limits.get(&team).is_some_and(|most| used > *most) {
                 self.broke("quota", &format!("{team} uses {used} at {now}"));
             }
         }
     }
 
-    fn used(&self, on: &[Seen]) -> BTreeMap<String, f64> {
+    fn used(&self, census: &Census) -> BTreeMap<String, f64> {
         let mut used: BTreeMap<String, f64> = BTreeMap::new();
-        for other in on {
-            if let Some(spec) = self.jobs.get(&other.task.job) {
-                *used.entry(spec.team.0.clone()).or_default() += spec.cpus;
+        for (job, tasks) in census.jobs() {
+            if let Some(spec) = self.jobs.get(job) {
+                *used.entry(spec.team.0.clone()).or_default() += spec.cpus * tasks as f64;
             }
         }
         used
@@ -326,21 +341,17 @@
         &mut self,
         now: u64,
         quiet: bool,
-        on: &[Seen],
+        census: &Census,
         free: &[Free],
         hopeless: &BTreeSet<JobId>,
     ) {
-        let used = self.used(on);
+        let used = self.used(census);
         let mut long = Vec::new();
         for id in self.open() {
             let Some(spec) = self.jobs.get(&id) else {
                 continue;
             };
-            let busy: BTreeSet<u32> = on
-                .iter()
-                .filter(|o| o.task.job == id)
-                .map(|o| o.task.index)
-                .collect();
+            let busy: BTreeSet<u32> = census.of_job(id).iter().map(|o| o.task.index).collect();
             let waiting = (0..spec.tasks).any(|index| {
                 !busy.contains(&index) && !self.completed.contains(&TaskId { job: id, index })
             });
--- a/crates/worksshunt-core/tests/scenarios/cluster/state_service.rs
+++ b/crates/worksshunt-simulation/src/state_service.rs
@@ -101,17 +101,14 @@
     }
 
     pub(super) fn changes(&self, prefix: &str, since: Revision) -> Changes {
-        let key = |event: &WatchEvent| match event {
-            WatchEvent::Put { key, .. } | WatchEvent::Delete { key, .. } => key.clone(),
+        let of_prefix = |event: &WatchEvent| match event {
+            WatchEvent::Put { key, .. } | WatchEvent::Delete { key, .. } => key.starts_with(prefix),
         };
+        let first = self.log.partition_point(|(at, _)| *at <= since.0);
+        let events = self.log[first..].iter().map(|(_, event)| event);
         Changes {
             revision: Revision(self.revision),
-            events: self
-                .log
-                .iter()
-                .filter(|(at, event)| *at > since.0 && key(event).starts_with(prefix))
-                .map(|(_, event)| event.clone())
-                .collect(),
+            events: events.filter(|event| of_prefix(event)).cloned().collect(),
         }
     }
 
@@ -180,6 +177,10 @@
         until: u64,
     ) {
         self.after_outage();
+        self.meter.requests += 1;
+        if let StoreOp::Txn(txn) = &op {
+            self.meter.txn(txn);
+        }
         let slow_ms = self.trouble.slow_txns_ms;
         if slow_ms > 0 && matches!(op, StoreOp::Txn(_)) && self.now + slow_ms < until {
             self.txns += 1;
@@ -215,7 +216,7 @@
                 return;
             }
         }
-        let reply = if self.trouble.state_down || refused {
+        let reply = if self.trouble.state_down || refused || !self.state_admits(&op) {
             StoreReply::Refused
         } else {
             if let StoreOp::Follow(prefix, since, wait_ms) = &op {
@@ -254,6 +255,26 @@
         self.wake_watches();
     }
 
+    /// Whether the state service's rates admit a request; otherwise it answers 429.
+    fn state_admits(&mut self, op: &StoreOp) -> bool {
+        let Some((requests, changes)) = &mut self.state_rates else {
+            return true;
+        };
+        let now = Time(self.now);
+        let changed = match op {
+            StoreOp::Txn(txn) => txn.changes.len(),
+            _ => 0,
+        };
+        let admitted = requests.available(now) >= 1 && changes.available(now) >= changed;
+        if admitted {
+            requests.take(1);
+            changes.take(changed);
+        } else {
+            self.meter.refused += 1;
+        }
+        admitted
+    }
+
     pub(super) fn wake_watches(&mut self) {
         let watches = std::mem::take(&mut self.watches);
         for watch in watches {
--- a/crates/worksshunt-core/tests/scenarios/cluster/workers.rs
+++ b/crates/worksshunt-simulation/src/workers.rs
@@ -20,9 +20,12 @@
     pub(super) ends_at: u64,
 }
 
+/// A machine and its worker.
 #[derive(Debug, Clone)]
 pub struct Worker {
+    /// Its machine's zone.
     pub zone: String,
+    /// Whether its machine is a spot one.
     pub spot: bool,
     pub(super) session: u64,
     pub(super) seq: u64,
@@ -33,6 +36,7 @@
     /// Number of the report that waits for its answer.
     pub(super) reporting: Option<u64>,
     pub(super) next_report: u64,
+    /// Whether it stands still.
     pub hung: bool,
     pub(super) up_at: u64,
     pub(super) rented_at: u64,
@@ -110,10 +114,11 @@
         }
         if !started.is_empty() {
             let mut rules = std::mem::take(&mut self.rules);
-            let seen = self.seen();
+            let census = self.census_with(id, &started);
             for task in &started {
-                rules.started(now, *task, id, &seen);
+                rules.started(now, *task, id, &census);
             }
+            self.census = Some(census);
             self.rules = rules;
         }
         let started = started.into_iter().map(|task| (now, task, id.clone()));
@@ -217,8 +222,28 @@
         }
     }
 
+    /// All that is on machines now, with what has just started on one of them.
+    fn census_with(&mut self, id: &MachineId, started: &[TaskId]) -> Census {
+        match self.census.take() {
+            Some(mut census) if census.is_of(self.now) => {
+                let worker = &self.workers[id];
+                for task in started {
+                    census.add(&Seen {
+                        task: *task,
+                        machine: id,
+                        zone: &worker.zone,
+                        spot: worker.spot,
+                    });
+                }
+                census
+            }
+            _ => Census::new(self.now, &self.seen()),
+        }
+    }
+
     /// Checks that no attempt's number is used for another task or on another machine.
     pub(super) fn note_launches(&mut self, id: &MachineId, commands: &[Command]) {
+        self.meter.commands(commands);
         for command in commands {
             let Command::Launch { task, attempt } = command else {
                 continue;
