Bounds that stood below 4,000 machines come from the settings; large exchanges are split

Need: users run 4,000 machines. Orders and users' requests under way grow with the memory, rentals with the cloud's rate; the newest reports of machines that left are kept for ten minutes, however many they are. An exchange between owner and leader brings 4,096 changes of a kind at the most, the rest follows: one that could not be taken in within its deadline would have been told again for ever. A tick looks at 1,024 machines. Claims, machines with room and drains are looked up where all machines were gone through.

--- /dev/null
+++ b/crates/worksshunt-core/src/capacity.rs
@@ -0,0 +1,100 @@
+//! How much of everything a controller takes at a time, and what a deployment needs; from its settings.
+
+use worksshunt_wire::cloud::Catalog;
+use worksshunt_wire::settings::{Facts, Settings};
+
+use crate::constants::{
+    CLOUD_SHARE, EXCHANGE_BYTES, EXCHANGE_SHARE, LEAST_EXCHANGES, LEAST_RENTALS, OWN_SOCKETS,
+    RECORD_BYTES, RECORD_SHARE, WORKER_SHARE,
+};
+use crate::pages::page_bytes;
+
+/// Bytes of a megabyte of memory, as the platform counts.
+const MEGABYTE: f64 = 1_000_000.0;
+
+/// How much of everything a controller takes at a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Capacity {
+    /// Connections that users and workers may have to it.
+    pub connections: usize,
+    /// Connections that it may have to workers.
+    pub worker_connections: usize,
+    /// Direct orders under way.
+    pub orders: usize,
+    /// Requests of users that wait for the state service.
+    pub user_requests: usize,
+    /// Rental requests under way.
+    pub rentals: usize,
+}
+
+impl Capacity {
+    /// What these settings allow.
+    pub fn new(settings: &Settings) -> Capacity {
+        let facts = &settings.facts;
+        let free = facts.limits.sockets.saturating_sub(OWN_SOCKETS);
+        let worker_connections = free / WORKER_SHARE;
+        let exchanges = exchanges(facts);
+        Capacity {
+            connections: free - worker_connections,
+            worker_connections,
+            orders: exchanges.min(worker_connections),
+            user_requests: exchanges,
+            rentals: ((facts.cloud.rps * CLOUD_SHARE / 2.0) as usize).max(LEAST_RENTALS),
+        }
+    }
+}
+
+/// Exchanges under way of one kind that the memory holds.
+fn exchanges(facts: &Facts) -> usize {
+    let bytes = facts.limits.mem_mb.unwrap_or(0.0) * MEGABYTE * EXCHANGE_SHARE;
+    ((bytes / EXCHANGE_BYTES as f64) as usize).max(LEAST_EXCHANGES)
+}
+
+/// Something of which the settings name less than the fleet that the guarantees imply may need.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shortfall {
+    /// One controller cannot keep a connection to every worker: they share them, at the price of new ones.
+    Connections {
+        /// Machines that the guarantees imply.
+        machines: usize,
+        /// Sockets that one controller would need.
+        sockets_needed: usize,
+    },
+    /// Launches on the whole fleet take longer to record than a lease lasts.
+    StateWrites {
+        /// Machines that the guarantees imply.
+        machines: usize,
+        /// Changes a second that would do.
+        write_rps_needed: usize,
+    },
+}
+
+/// What the settings fall short of, if all guarantees are used with tasks of one processor on machines of the
+/// largest type there is. Whether it matters depends on the load.
+pub fn shortfalls(settings: &Settings, catalog: &Catalog) -> Vec<Shortfall> {
+    let facts = &settings.facts;
+    let cpus: f64 = facts.teams.iter().map(|team| team.cpus).sum();
+    let each = catalog.types.iter().map(|t| t.cpus).fold(1.0, f64::max);
+    let machines = (cpus / each).ceil() as usize;
+    let mut found = Vec::new();
+    if machines > Capacity::new(settings).connections {
+        // Users and workers have all but one in `WORKER_SHARE` of the sockets that are not its own.
+        let sockets_needed = OWN_SOCKETS + (machines * WORKER_SHARE).div_ceil(WORKER_SHARE - 1);
+        found.push(Shortfall::Connections {
+            machines,
+            sockets_needed,
+        });
+    }
+    let pages = cpus * RECORD_BYTES as f64 / page_bytes(&facts.state) as f64;
+    let write_rps_needed = (pages / (RECORD_SHARE * facts.workers.lease_s)).ceil() as usize;
+    if write_rps_needed as f64 > facts.state.write_rps {
+        found.push(Shortfall::StateWrites {
+            machines,
+            write_rps_needed,
+        });
+    }
+    found
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -195,18 +195,21 @@
 /// open. Some of the connections to the state service, which others use meanwhile.
 pub const LOAD_FINALS_AT_ONCE: usize = 8;
 
-/// User requests waiting for the state service; one more is refused at once.
-pub const USER_QUEUE: usize = 512;
+/// Bytes that an exchange takes while it is under way: a request that waits for its answer, or a call.
+pub const EXCHANGE_BYTES: usize = 20_000;
+
+/// Share of the memory for exchanges of one kind: direct orders under way, or users' requests that wait for
+/// the state service. Both together leave three quarters to what is kept.
+pub const EXCHANGE_SHARE: f64 = 0.125;
+
+/// Exchanges of one kind there may be in any case, 10 MB: when many machines hang together, each order is given
+/// up only at its deadline. The rest goes with the answers to reports, and users are refused at once.
+pub const LEAST_EXCHANGES: usize = 512;
 
 /// Milliseconds after which direct orders to a worker count as unanswered. Its next report, in at
 /// most a few seconds, serves as well.
 pub const ORDERS_DEADLINE_MS: u64 = 2_000;
 
-/// Direct orders under way at a time: each takes a socket and some 20 KB until it is answered or given
-/// up, and when many machines hang together each is given up only at its deadline. The rest goes with
-/// the answers to reports.
-pub const ORDERS_AT_ONCE: usize = 512;
-
 /// Milliseconds without direct orders to a worker that left some unanswered.
 pub const ORDERS_PAUSE_MS: u64 = 10_000;
 
@@ -221,10 +224,18 @@
 /// that merely hung has had its chance.
 pub const UNREACHED_RETURN_LEASES: f64 = 2.5;
 
-/// Machines outside the part whose newest report is remembered, to know late copies by: several times
-/// the largest fleet asked for (1,850), at some 100 bytes each.
+/// Machines outside the part whose newest report is remembered in any case, to know late copies by: twice the
+/// largest fleet asked for (4,000), at some 100 bytes each ...
 pub const SIGHTINGS_KEPT: usize = 8_192;
 
+/// ... and milliseconds for which more are remembered: messages arrive minutes late at the most (protocol). What
+/// is rented and returned in that time bounds them.
+pub const SIGHTINGS_KEPT_MS: u64 = 600_000;
+
+/// Machines of a part that a tick looks at, the others in the ticks that follow: at 4,000 machines in one part
+/// each is looked at twice a second.
+pub const SWEEP_MACHINES: usize = 1_024;
+
 /// Milliseconds a part may hold a task it finds no machine for before handing it back.
 pub const QUEUED_MS: u64 = 4_000;
 
@@ -357,9 +368,10 @@
 /// Machines in one rental request (protocol).
 pub const RENT_MOST: u32 = 50;
 
-/// Rental requests under way at a time. Answers take some 200 ms, so that one after the other they would
-/// take a second for 250 machines.
-pub const RENTALS_AT_ONCE: usize = 4;
+/// Rental requests under way at a time in any case, and more where the cloud takes so many that these are
+/// fewer than half of its calls of a second. Answers take some 200 ms, so that one after the other they would take a
+/// second for 250 machines.
+pub const LEAST_RENTALS: usize = 4;
 
 /// Machines in one return request (protocol).
 pub const RETURN_MOST: usize = 100;
@@ -434,10 +446,19 @@
 /// Machines in one page of the cloud's list (protocol).
 pub const CLOUD_PAGE: usize = 500;
 
-/// Longest frame taken from a peer, bytes: thousands of machines and attempts, far beyond one
-/// deployment.
+/// Longest frame taken from a peer, bytes: several times the largest one sent ([`SYNC_MACHINES`],
+/// [`SYNC_CHANGES`]).
 pub const FRAME_BYTES: usize = 4 * 1024 * 1024;
 
+/// Machines described in one exchange between an owner and the leader, the others in the next: twice the largest
+/// fleet asked for (4,000), at some 100 bytes each and 300 at the most.
+pub const SYNC_MACHINES: usize = 8_192;
+
+/// Attempts, ends, or tasks of any other kind in one exchange, the others in the next one, 100 ms later. Each is
+/// some 50 bytes and 200 at the most. More at a time would be told again and again by a controller that
+/// cannot take them in within the deadline of an exchange.
+pub const SYNC_CHANGES: usize = 4_096;
+
 /// Milliseconds of pause after a connection could not be accepted: out of sockets, most likely, so
 /// connections need time to close.
 pub const ACCEPT_PAUSE_MS: u64 = 20;
@@ -465,6 +486,17 @@
 /// One in so many of the other sockets may be a connection to a worker.
 pub const WORKER_SHARE: usize = 4;
 
+/// One in so many of the connections of users and workers is left free: beyond that a connection is closed
+/// after each answer, so that more clients than there are connections share them.
+pub const SPARE_CONNECTIONS: usize = 8;
+
+/// Bytes that a record of an attempt takes in the state service, rounded up.
+pub const RECORD_BYTES: usize = 80;
+
+/// Requests a second that a controller needs of the state service to keep its lease and its epoch: a renewal and
+/// a read of the control keys.
+pub const LEAST_STATE_RPS: f64 = 2.0;
+
 /// The fewest changes in a transaction the service can work with: a job's end removes one key and
 /// writes another.
 pub const LEAST_TXN_OPS: usize = 2;
--- a/crates/worksshunt-core/src/controller/epochs.rs
+++ b/crates/worksshunt-core/src/controller/epochs.rs
@@ -110,7 +110,7 @@
                     StoreReply::NoSuchLease if self.membership.lease() == Some(lease) => {
                         tracing::info!(lease, "the lease ran out");
                         self.lease_turn.next = t;
-                        self.leave();
+                        self.leave(t);
                     }
                     StoreReply::Renewed => {}
                     _ => self.lease_turn.next = t + STORE_RETRY_MS,
@@ -250,7 +250,7 @@
             Finding::Steady => {}
             Finding::Evicted => {
                 tracing::info!("the member key is gone");
-                self.leave();
+                self.leave(now);
             }
             Finding::NewEpoch => {
                 self.new_epoch(now, out);
@@ -264,10 +264,10 @@
         }
     }
 
-    pub(super) fn leave(&mut self) {
+    pub(super) fn leave(&mut self, now: Time) {
         self.membership.lost_lease();
         self.leader = None;
-        self.forget_part();
+        self.forget_part(now);
     }
 
     fn new_epoch(&mut self, now: Time, out: &mut Vec<Action>) {
@@ -290,12 +290,12 @@
         if self.membership.state() == MemberState::Loading {
             self.load_step(now, out);
         } else {
-            self.forget_part();
+            self.forget_part(now);
         }
     }
 
-    fn forget_part(&mut self) {
-        self.part.clear();
+    fn forget_part(&mut self, now: Time) {
+        self.part.clear(now);
         self.part_of = None;
     }
 
@@ -488,13 +488,17 @@
                 cancelled: load.cancelled,
             };
             let facts = &self.settings.facts;
-            self.leader = Some(Leader {
-                scheduler: Scheduler::load(now, epoch.number, &names, facts, &self.mirror, &found),
-                fleet: match load.fleet {
-                    Some(fleet) if fleet.epoch() == just_before => fleet.carried_over(epoch.number),
-                    _ => Fleet::new(epoch.number, now, &facts.cloud, &facts.workers),
-                },
-            });
+            let mut scheduler =
+                Scheduler::load(now, epoch.number, &names, facts, &self.mirror, &found);
+            let fleet = match load.fleet {
+                Some(fleet) if fleet.epoch() == just_before => fleet.carried_over(epoch.number),
+                _ => {
+                    let rentals = self.capacity.rentals;
+                    Fleet::new(epoch.number, now, &facts.cloud, &facts.workers, rentals)
+                }
+            };
+            scheduler.drain(fleet.drains());
+            self.leader = Some(Leader { scheduler, fleet });
             tracing::info!(epoch = %epoch.number, members = names.len(), "leading");
         }
         self.membership.loaded();
--- a/crates/worksshunt-core/src/controller/leading.rs
+++ b/crates/worksshunt-core/src/controller/leading.rs
@@ -79,11 +79,10 @@
         }
         let leader = self.leader.as_mut()?;
         let from = up.from.clone();
-        leader.scheduler.drain(leader.fleet.drains());
         leader.scheduler.sync(now.steady, up);
         leader.scheduler.round(now, budget);
         let gone = leader.fleet.gone();
-        Some(leader.scheduler.answer(now.steady, &from, &gone))
+        Some(leader.scheduler.answer(now.steady, &from, gone))
     }
 
     pub(super) fn sync_turn(&mut self, now: Now, budget: &Budget, out: &mut Vec<Action>) {
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -16,6 +16,7 @@
 use worksshunt_wire::state::Txn;
 use worksshunt_wire::{Epoch, JobId, NodeName};
 
+use crate::capacity::Capacity;
 use crate::constants::*;
 use crate::epoch_poll::EpochPoll;
 use crate::fleet::{CloudRequest, Fleet};
@@ -58,6 +59,7 @@
     membership: Membership,
     mirror: Mirror,
     users: Users,
+    capacity: Capacity,
     part: Part,
     /// The epoch the part was loaded for, and its members.
     part_of: Option<(Epoch, Vec<NodeName>)>,
@@ -118,6 +120,7 @@
     pub fn new(mut settings: Settings, parameters: Parameters) -> Controller {
         // Announced limits come without notice, so they are kept from the start.
         settings.facts.state = settings.facts.state.lowest();
+        let capacity = Capacity::new(&settings);
         let facts = &settings.facts;
         let others = settings.known.iter().map(|peer| peer.host_name.clone());
         let cloud_rate = facts.cloud.rps * CLOUD_SHARE;
@@ -133,7 +136,8 @@
             membership: Membership::new(settings.host_name.clone(), others, knows_ms),
             follow_wait_ms: follow_wait_ms(knows_ms),
             mirror: Mirror::default(),
-            users: Users::default(),
+            users: Users::new(capacity.user_requests),
+            capacity,
             summary_every_ms: parameters.summary_every_ms,
             part: Part::new(parameters, &facts.workers, &facts.state),
             part_of: None,
@@ -269,8 +273,7 @@
         self.part.place(t, &self.mirror, budget);
         if self.membership.has_authority(t) {
             self.write_turns(t, out);
-            let most = ORDERS_AT_ONCE.min(worker_connections(&self.settings));
-            let most = most.saturating_sub(self.orders_out);
+            let most = self.capacity.orders.saturating_sub(self.orders_out);
             let all = self.part.direct_orders(t, self.membership.token(), most);
             self.orders_out += all.len();
             out.extend(all.into_iter().map(Action::Orders));
@@ -432,11 +435,6 @@
     (knows_ms.saturating_sub(2 * STORE_DEADLINE_MS) / 2).clamp(STORE_RETRY_MS, FOLLOW_WAIT_MS)
 }
 
-/// How many connections to workers a controller may have: users and reports have the others.
-pub fn worker_connections(settings: &Settings) -> usize {
-    settings.facts.limits.sockets.saturating_sub(OWN_SOCKETS) / WORKER_SHARE
-}
-
 fn store(out: &mut Vec<Action>, tag: StoreTag, op: StoreOp) {
     out.push(Action::Store(tag, op, STORE_DEADLINE_MS));
 }
--- a/crates/worksshunt-core/src/controller/requests.rs
+++ b/crates/worksshunt-core/src/controller/requests.rs
@@ -342,6 +342,7 @@
                 self.list_turn.in_flight = false;
                 if let (CloudReply::List(pages), Some(leader)) = (reply, &mut self.leader) {
                     leader.fleet.listed(now, &pages);
+                    leader.scheduler.drain(leader.fleet.drains());
                 }
             }
             (CloudRequest::Rent(request), reply) => {
@@ -364,6 +365,11 @@
                 };
                 let gone = matches!(reply, CloudReply::Machines(_)).then_some(names);
                 leader.fleet.returned(now, gone);
+                leader.scheduler.drain(leader.fleet.drains());
+                if gone.is_some_and(|names| names.machines.len() >= RETURN_MOST) {
+                    // More may be waiting to go back than one request takes.
+                    self.fleet_turn.next = now;
+                }
             }
         }
     }
--- a/crates/worksshunt-core/src/controller/writes.rs
+++ b/crates/worksshunt-core/src/controller/writes.rs
@@ -208,7 +208,7 @@
             let state = &self.settings.facts.state;
             self.lanes = Lanes::new(state);
             self.part.set_limits(state);
-            self.leave();
+            self.leave(now);
         } else {
             tracing::error!(?lane, "a write of the least size is too large");
             self.lanes.line(lane).turn.retry(now, STORE_RETRY_MS);
--- a/crates/worksshunt-core/src/fleet/mod.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -12,8 +12,8 @@
 use worksshunt_wire::{Epoch, MachineId};
 
 use crate::constants::{
-    BOOT_EXTRA_S, BOOT_FACTOR, IDLE_BOOTS, IDLE_LEAST_MS, RENTALS_AT_ONCE, RETURN_MOST,
-    SILENT_RETURN_LEASES, UNHEARD_REPORTS,
+    BOOT_EXTRA_S, BOOT_FACTOR, IDLE_BOOTS, IDLE_LEAST_MS, RETURN_MOST, SILENT_RETURN_LEASES,
+    UNHEARD_REPORTS,
 };
 use crate::placement::Room;
 use crate::scheduler::{Demand, Forecast, MachineView};
@@ -93,6 +93,8 @@
     refused_until: BTreeMap<Offer, Time>,
     /// The rental requests under way.
     renting: Vec<Rental>,
+    /// Rentals that may be under way.
+    rentals: usize,
     return_in_flight: bool,
     gone: BTreeMap<MachineId, Time>,
     listings: Listings,
@@ -109,7 +111,13 @@
 
 impl Fleet {
     /// Starts at the start of an epoch.
-    pub fn new(epoch: Epoch, now: Time, cloud: &CloudLimits, workers: &Workers) -> Fleet {
+    pub fn new(
+        epoch: Epoch,
+        now: Time,
+        cloud: &CloudLimits,
+        workers: &Workers,
+        rentals: usize,
+    ) -> Fleet {
         let lag_ms = (cloud.list_lag_s * 1_000.0) as u64;
         // The first epoch has no former leader.
         let wait = if epoch.0 <= 1 { 0 } else { lag_ms };
@@ -119,6 +127,7 @@
             machines: BTreeMap::new(),
             refused_until: BTreeMap::new(),
             renting: Vec::new(),
+            rentals,
             return_in_flight: false,
             gone: BTreeMap::new(),
             listings: Listings::default(),
@@ -233,8 +242,8 @@
     }
 
     /// Machines confirmed gone.
-    pub fn gone(&self) -> BTreeSet<MachineId> {
-        self.gone.keys().cloned().collect()
+    pub fn gone(&self) -> impl Iterator<Item = &MachineId> {
+        self.gone.keys()
     }
 
     /// Decides what to return and what to rent.
@@ -277,7 +286,7 @@
             rental.in_flight = true;
             requests.push(CloudRequest::Rent(rental.request.clone()));
         }
-        while self.renting.len() < RENTALS_AT_ONCE {
+        while self.renting.len() < self.rentals {
             let Some(request) = self.rental(now, catalog, &there, &left, demand) else {
                 break;
             };
--- a/crates/worksshunt-core/src/fleet/supply.rs
+++ b/crates/worksshunt-core/src/fleet/supply.rs
@@ -103,6 +103,9 @@
     for wanted in demand {
         let need = Room::of_job(&wanted.job);
         let mut tasks = wanted.tasks;
+        if tasks == 0 {
+            continue;
+        }
         supply.retain_mut(|Supply { offer, room, empty }| {
             let allowed = allows(wanted, offer);
             while tasks > 0 && allowed && room.holds(&need) {
--- a/crates/worksshunt-core/src/lib.rs
+++ b/crates/worksshunt-core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Events and the time go in, actions come out. Nothing in here does I/O, reads a clock of its own
 //! or draws random numbers.
 
+pub mod capacity;
 pub mod constants;
 pub mod controller;
 pub mod epoch_poll;
--- a/crates/worksshunt-core/src/machines/exchange.rs
+++ b/crates/worksshunt-core/src/machines/exchange.rs
@@ -5,6 +5,7 @@
 use worksshunt_wire::peer::{AttemptUp, Ended, MachineUp, SyncDown, SyncUp};
 use worksshunt_wire::{Attempt, Epoch, MachineId, NodeName};
 
+use crate::constants::{SYNC_CHANGES, SYNC_MACHINES};
 use crate::time::Time;
 
 use super::machine::{AttemptState, Machine};
@@ -33,14 +34,40 @@
     ended: Vec<Ended>,
 }
 
+/// Takes out the first entries of a set, so many at the most.
+fn take_first<T: Ord>(set: &mut BTreeSet<T>, most: usize) -> BTreeSet<T> {
+    if set.len() <= most {
+        return std::mem::take(set);
+    }
+    let mut first = BTreeSet::new();
+    while first.len() < most {
+        let Some(entry) = set.pop_first() else { break };
+        first.insert(entry);
+    }
+    first
+}
+
 impl Outgoing {
+    /// Takes out what the next message tells. What is too much for one message is left for the next.
+    fn begin(&mut self) -> Told {
+        let ended = self.ended.len().min(SYNC_CHANGES);
+        Told {
+            machines: take_first(&mut self.machines, SYNC_MACHINES),
+            forgotten: take_first(&mut self.forgotten, SYNC_MACHINES),
+            attempts: take_first(&mut self.attempts, SYNC_CHANGES),
+            ended: self.ended.drain(..ended).collect(),
+        }
+    }
+
     /// The message under way was not answered: all of it has to be told again.
     fn tell_again(&mut self) {
         if let Some(told) = self.under_way.take() {
             self.machines.extend(told.machines);
             self.forgotten.extend(told.forgotten);
             self.attempts.extend(told.attempts);
-            self.ended.extend(told.ended);
+            // What was told first is told first again.
+            let later = std::mem::replace(&mut self.ended, told.ended);
+            self.ended.extend(later);
         }
     }
 }
@@ -55,15 +82,10 @@
             && o.ended.is_empty())
     }
 
-    /// What has changed since the leader last confirmed.
+    /// What has changed since the leader last confirmed, as much of it as one message tells.
     pub fn sync_up(&mut self, now: Time, epoch: Epoch, from: &NodeName) -> SyncUp {
         self.outgoing.tell_again();
-        let told = Told {
-            machines: std::mem::take(&mut self.outgoing.machines),
-            forgotten: std::mem::take(&mut self.outgoing.forgotten),
-            attempts: std::mem::take(&mut self.outgoing.attempts),
-            ended: std::mem::take(&mut self.outgoing.ended),
-        };
+        let told = self.outgoing.begin();
         let machines = told.machines.iter();
         let attempts = told.attempts.iter();
         let up = SyncUp {
--- a/crates/worksshunt-core/src/machines/loading.rs
+++ b/crates/worksshunt-core/src/machines/loading.rs
@@ -31,10 +31,10 @@
     ) {
         let mut before = std::mem::take(&mut self.machines);
         for (id, machine) in &before {
-            self.sightings.note(id, machine.newest);
+            self.sightings.note(id, machine.newest, now);
         }
         before.retain(|id, _| is_mine(id) && was_mine(id));
-        self.clear();
+        self.clear(now);
         self.pages = Pages::new(page_prefix(me.0, me.1), self.page_bytes);
         let mut by_machine: BTreeMap<&MachineId, Vec<&Recorded>> = BTreeMap::new();
         for record in records.iter().filter(|r| is_mine(&r.machine)) {
@@ -142,9 +142,9 @@
     }
 
     /// Drops everything: this controller is out.
-    pub fn clear(&mut self) {
+    pub fn clear(&mut self, now: Time) {
         for (id, machine) in std::mem::take(&mut self.machines) {
-            self.sightings.note(&id, machine.newest);
+            self.sightings.note(&id, machine.newest, now);
         }
         self.homes.clear();
         self.by_job.clear();
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -17,14 +17,15 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Bound::{Excluded, Included, Unbounded};
 
 use worksshunt_wire::peer::{End, Ended, Give};
 use worksshunt_wire::settings::{StateLimits, Workers};
 use worksshunt_wire::{Attempt, JobId, MachineId, Revision, Session};
 
 use crate::constants::{
-    CLOCK_DRIFT, LEASE_MARGIN_MS, QUEUED_MS, SILENT_REPORTS, STEADY_REPLICA_MS, UNREACHED_MACHINES,
-    UNREACHED_REPORTS, UNREACHED_RETURN_LEASES,
+    CLOCK_DRIFT, LEASE_MARGIN_MS, QUEUED_MS, SILENT_REPORTS, STEADY_REPLICA_MS, SWEEP_MACHINES,
+    UNREACHED_MACHINES, UNREACHED_REPORTS, UNREACHED_RETURN_LEASES,
 };
 use crate::jobs::Job;
 use crate::pages::{page_bytes, PageWrite, Pages};
@@ -58,6 +59,8 @@
     unreached_ms: u64,
     page_bytes: usize,
     machines: BTreeMap<MachineId, Machine>,
+    /// The last machine that the last tick looked at, if it did not come to the end of them.
+    swept: Option<MachineId>,
     /// Where each attempt is.
     homes: BTreeMap<Attempt, MachineId>,
     /// The attempts of each job.
@@ -93,6 +96,7 @@
             unreached_ms: (workers.report_s * 1_000.0 * UNREACHED_REPORTS) as u64,
             page_bytes,
             machines: BTreeMap::new(),
+            swept: None,
             homes: BTreeMap::new(),
             by_job: BTreeMap::new(),
             open: BTreeSet::new(),
@@ -266,7 +270,7 @@
         let last = (Session(u64::MAX), u64::MAX);
         match self.machines.get_mut(id) {
             Some(machine) => machine.newest = last,
-            None => self.sightings.note(id, last),
+            None => self.sightings.note(id, last, now),
         }
     }
 
@@ -313,14 +317,15 @@
         let mut look = Vec::new();
         let mut forget = Vec::new();
         let mut noticed = Vec::new();
-        for (id, machine) in &mut self.machines {
-            if !machine.lost && now > machine.renewed + self.lease_ms {
+        let (lease_ms, patience) = (self.lease_ms, self.patience);
+        for (id, machine) in self.sweep() {
+            if !machine.lost && now > machine.renewed + lease_ms {
                 expired.push(id.clone());
             } else if machine.lost {
                 if machine.attempts.values().all(TrackedAttempt::settled) {
                     forget.push(id.clone());
                 }
-            } else if machine.summarize(now, self.patience) != machine.summary {
+            } else if machine.summarize(now, patience) != machine.summary {
                 look.push(id.clone());
             }
             if machine.notice.is_some() && !machine.attempts.is_empty() {
@@ -353,6 +358,20 @@
         self.placeable = true;
     }
 
+    /// The machines that this tick looks at: all of a small part, some of a large one.
+    fn sweep(&mut self) -> impl Iterator<Item = (&MachineId, &mut Machine)> {
+        let from = self.swept.take().map_or(Unbounded, Excluded);
+        let ids = self
+            .machines
+            .range::<MachineId, _>((from.clone(), Unbounded));
+        // The last one of this tick, if others are left after it.
+        let mut ids = ids.map(|(id, _)| id).skip(SWEEP_MACHINES - 1);
+        let last = ids.next().filter(|_| ids.next().is_some()).cloned();
+        self.swept.clone_from(&last);
+        let to = last.map_or(Unbounded, Included);
+        self.machines.range_mut((from, to))
+    }
+
     /// A lost machine on which nothing matters any more.
     fn forget(&mut self, id: &MachineId, now: Time) {
         let Some(machine) = self.machines.get(id) else {
@@ -362,7 +381,7 @@
             self.untrack(id, attempt, End::Settled, now);
         }
         if let Some(machine) = self.machines.remove(id) {
-            self.sightings.note(id, machine.newest);
+            self.sightings.note(id, machine.newest, now);
         }
         self.to_order.remove(id);
         self.outgoing.machines.remove(id);
--- a/crates/worksshunt-core/src/machines/reports.rs
+++ b/crates/worksshunt-core/src/machines/reports.rs
@@ -7,7 +7,7 @@
 use worksshunt_wire::worker::{Command, ExitReason, Report, ReportedTask, TaskState};
 use worksshunt_wire::{Attempt, Epoch, MachineId, Session};
 
-use crate::constants::SIGHTINGS_KEPT;
+use crate::constants::{SIGHTINGS_KEPT, SIGHTINGS_KEPT_MS};
 use crate::placement::{Outcome, Room, Speed};
 use crate::time::Time;
 
@@ -19,21 +19,28 @@
 #[derive(Debug, Default)]
 pub(super) struct Sightings {
     newest: BTreeMap<MachineId, (Session, u64)>,
-    order: VecDeque<MachineId>,
+    /// When each was first noted, the earliest first.
+    order: VecDeque<(Time, MachineId)>,
 }
 
 impl Sightings {
-    pub fn note(&mut self, id: &MachineId, newest: (Session, u64)) {
+    pub fn note(&mut self, id: &MachineId, newest: (Session, u64), now: Time) {
         match self.newest.get_mut(id) {
             Some(before) => *before = newest.max(*before),
             None => {
                 self.newest.insert(id.clone(), newest);
-                self.order.push_back(id.clone());
-                if self.order.len() > SIGHTINGS_KEPT {
-                    if let Some(oldest) = self.order.pop_front() {
-                        self.newest.remove(&oldest);
-                    }
-                }
+                self.order.push_back((now, id.clone()));
+                self.forget_oldest(now);
+            }
+        }
+    }
+
+    /// Forgets what was noted first, if there are many and no copy of its reports can come any more.
+    fn forget_oldest(&mut self, now: Time) {
+        let old = |(noted, _): &(Time, MachineId)| now.since(*noted) >= SIGHTINGS_KEPT_MS;
+        while self.order.len() > SIGHTINGS_KEPT && self.order.front().is_some_and(old) {
+            if let Some((_, oldest)) = self.order.pop_front() {
+                self.newest.remove(&oldest);
             }
         }
     }
--- a/crates/worksshunt-core/src/scheduler/claims.rs
+++ b/crates/worksshunt-core/src/scheduler/claims.rs
@@ -64,8 +64,23 @@
                 *least = least.min(job.spec.cpus);
             }
         }
-        let mut chosen: Vec<(MachineId, JobId)> = Vec::new();
+        let mut candidates: Vec<&MachineUp> = self
+            .machines()
+            .map(|view| &view.up)
+            .filter(|m| {
+                m.usable
+                    && !m.noticed
+                    && !self.claims.contains_key(&m.id)
+                    // A former leader's claim has to go first.
+                    && !self.due.contains(&Due::Remove(claim_key(&m.id)))
+            })
+            .collect();
+        candidates.sort_by(|a, b| b.cpus.total_cmp(&a.cpus).then(a.id.cmp(&b.id)));
+        let mut chosen: BTreeMap<MachineId, JobId> = BTreeMap::new();
         for job in stuck {
+            if free_claims == 0 {
+                break;
+            }
             let id = job.spec.id;
             let waiting = self.jobs.get(&id).map_or(0, |work| work.waiting());
             let wanted = waiting.min(self.quota.admitted_first(&job)) as usize;
@@ -75,26 +90,18 @@
             // Only a task that needs more than the next task to end will leave has to be helped;
             // the rest find room by themselves. Even where room is left beside that, narrower tasks
             // would take it first.
-            let mut machines: Vec<&MachineUp> = self
-                .machines()
-                .map(|view| &view.up)
-                .filter(|m| {
-                    let next = narrowest.get(&m.id).copied().unwrap_or(0.0);
-                    m.usable
-                        && !m.noticed
-                        && m.cpus < job.spec.cpus
-                        && next < job.spec.cpus
-                        && !self.claims.contains_key(&m.id)
-                        && !chosen.iter().any(|(id, _)| *id == m.id)
-                        // A former leader's claim has to go first.
-                        && !self.due.contains(&Due::Remove(claim_key(&m.id)))
-                        && job.allows(&m.machine_type, &m.zone, m.spot)
-                        && zones.as_ref().is_none_or(|zones| zones.contains(&m.zone))
-                })
-                .collect();
-            machines.sort_by(|a, b| b.cpus.total_cmp(&a.cpus).then(a.id.cmp(&b.id)));
-            chosen.extend(machines.iter().take(more).map(|m| (m.id.clone(), id)));
-            free_claims = free_claims.saturating_sub(machines.len().min(more));
+            let helps = |m: &&&MachineUp| {
+                let next = narrowest.get(&m.id).copied().unwrap_or(0.0);
+                m.cpus < job.spec.cpus
+                    && next < job.spec.cpus
+                    && !chosen.contains_key(&m.id)
+                    && job.allows(&m.machine_type, &m.zone, m.spot)
+                    && zones.as_ref().is_none_or(|zones| zones.contains(&m.zone))
+            };
+            let machines = candidates.iter().filter(helps).take(more);
+            let machines: Vec<MachineId> = machines.map(|m| m.id.clone()).collect();
+            free_claims = free_claims.saturating_sub(machines.len());
+            chosen.extend(machines.into_iter().map(|machine| (machine, id)));
         }
         for (machine, job) in chosen {
             tracing::debug!(%job, %machine, "claiming a machine");
--- a/crates/worksshunt-core/src/scheduler/handout.rs
+++ b/crates/worksshunt-core/src/scheduler/handout.rs
@@ -277,10 +277,9 @@
         let need = Room::of_job(job);
         let kept = job.spec.spot && self.keeps_ordinary(now);
         let mut machines: Vec<(Room, &MachineId)> = part
-            .open
-            .iter()
-            .filter_map(|id| {
-                let view = part.machines.get(id)?;
+            .with_room(need.cpus)
+            .filter_map(|view| {
+                let id = &view.up.id;
                 let fits = view.room.holds(&need)
                     && !job.leaves(view.up.spot, kept)
                     && job.allows(&view.up.machine_type, &view.up.zone, view.up.spot)
--- a/crates/worksshunt-core/src/scheduler/parts.rs
+++ b/crates/worksshunt-core/src/scheduler/parts.rs
@@ -6,7 +6,7 @@
 use worksshunt_wire::peer::{End, Give, MachineUp, Phase, SyncDown, SyncUp, Wishes};
 use worksshunt_wire::{Attempt, MachineId, NodeName};
 
-use crate::constants::{PART_SILENT_MS, PROGRESS_EVERY_MS, ROUNDING, SILENT_SHARE};
+use crate::constants::{PART_SILENT_MS, PROGRESS_EVERY_MS, ROUNDING, SILENT_SHARE, SYNC_CHANGES};
 use crate::jobs::Job;
 use crate::placement::Room;
 use crate::time::Time;
@@ -47,6 +47,17 @@
     }
 }
 
+/// Free processors of a machine, as they are ordered by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct FreeCpus(u64);
+
+impl FreeCpus {
+    /// The bits of numbers from 0 up are in the order of the numbers.
+    fn of(cpus: f64) -> FreeCpus {
+        FreeCpus(cpus.max(0.0).to_bits())
+    }
+}
+
 /// Something an owner has to be told once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Down {
@@ -70,8 +81,8 @@
     /// When its owner was last heard.
     heard: Time,
     pub machines: BTreeMap<MachineId, MachineView>,
-    /// Machines with room.
-    pub open: BTreeSet<MachineId>,
+    /// Machines with room, those with fewest free processors first.
+    open: BTreeSet<(FreeCpus, MachineId)>,
     /// What its owner has to be told, each with the number of the answer that said it last. It is there
     /// once, however often an owner that is not answered in time gives cause for it.
     outbox: BTreeMap<Down, u64>,
@@ -102,16 +113,29 @@
         }
     }
 
+    /// Machines with at least so many free processors, those with fewest first.
+    pub fn with_room(&self, cpus: f64) -> impl Iterator<Item = &MachineView> {
+        let from = (FreeCpus::of(cpus - ROUNDING), MachineId(String::new()));
+        let ids = self.open.range(from..).map(|(_, id)| id);
+        ids.filter_map(|id| self.machines.get(id))
+    }
+
     fn adjust(&mut self, id: &MachineId, change: impl FnOnce(&mut MachineView)) {
         let Some(view) = self.machines.get_mut(id) else {
             return;
         };
+        let before = FreeCpus::of(view.room.cpus);
         change(view);
         view.reckon();
-        if view.room.cpus > ROUNDING {
-            self.open.insert(id.clone());
+        let after = FreeCpus::of(view.room.cpus);
+        let has_room = view.room.cpus > ROUNDING;
+        if before != after {
+            self.open.remove(&(before, id.clone()));
+        }
+        if has_room {
+            self.open.insert((after, id.clone()));
         } else {
-            self.open.remove(id);
+            self.open.remove(&(after, id.clone()));
         }
     }
 
@@ -139,8 +163,10 @@
     }
 
     fn forget(&mut self, id: &MachineId) {
-        self.machines.remove(id);
-        self.open.remove(id);
+        if let Some(view) = self.machines.remove(id) {
+            let free = FreeCpus::of(view.room.cpus);
+            self.open.remove(&(free, id.clone()));
+        }
     }
 }
 
@@ -252,7 +278,12 @@
     }
 
     /// The answer to a part's message last taken in. `gone` is the fleet's.
-    pub fn answer(&mut self, now: Time, to: &NodeName, gone: &BTreeSet<MachineId>) -> SyncDown {
+    pub fn answer<'a>(
+        &mut self,
+        now: Time,
+        to: &NodeName,
+        gone: impl Iterator<Item = &'a MachineId>,
+    ) -> SyncDown {
         let progress = self.progress_due(now, to).then(|| self.progress());
         let held = self.held_claims();
         let Some(part) = self.parts.get_mut(to) else {
@@ -267,6 +298,15 @@
             ..SyncDown::default()
         };
         for (message, sent) in &mut part.outbox {
+            // What is too much for one answer is left for the next; stops do not wait behind gives.
+            let of_kind = match message {
+                Down::Give(_) => down.gives.len(),
+                Down::Stop(_) => down.stops.len(),
+                Down::Durable(_) => down.durable.len(),
+            };
+            if of_kind >= SYNC_CHANGES {
+                continue;
+            }
             *sent = part.answers;
             match message {
                 Down::Give(attempt) => {
@@ -283,14 +323,11 @@
                 Down::Durable(attempt) => down.durable.push(*attempt),
             }
         }
-        let known = |ids: &BTreeSet<MachineId>| -> Vec<MachineId> {
-            let known = ids.iter().filter(|id| part.machines.contains_key(id));
-            known.cloned().collect()
-        };
+        let here = |id: &&MachineId| part.machines.contains_key(id);
         let wishes = Wishes {
-            drains: known(&self.drains),
-            claims: known(&held),
-            gone: known(gone),
+            drains: self.drains.iter().filter(here).cloned().collect(),
+            claims: held.iter().filter(here).cloned().collect(),
+            gone: gone.filter(here).cloned().collect(),
         };
         let confirmed = |(seq, told): &(u64, Wishes)| *told == wishes && *seq <= part.seen;
         if !part.wishes.as_ref().is_some_and(confirmed) {
@@ -318,6 +355,9 @@
     /// it. What looks like a dead machine may be a controller cut from its workers, a zone cut off or a slow
     /// state service, but then it is not alone; so only a few are given up, where nearly all others speak.
     pub fn silent_with_replicas(&self, now: Time) -> Vec<MachineId> {
+        if self.services.is_empty() {
+            return Vec::new();
+        }
         let replicas: BTreeSet<&MachineId> = self
             .outs
             .values()
--- a/crates/worksshunt-core/src/users.rs
+++ b/crates/worksshunt-core/src/users.rs
@@ -12,7 +12,7 @@
 use worksshunt_wire::user::{JobState, JobStatus};
 use worksshunt_wire::{JobId, Revision};
 
-use crate::constants::{INTAKE_FROM, PAGES_AT_ONCE, RETRY_AFTER_S, SUBMIT_PATIENCE_MS, USER_QUEUE};
+use crate::constants::{INTAKE_FROM, PAGES_AT_ONCE, RETRY_AFTER_S, SUBMIT_PATIENCE_MS};
 use crate::jobs::{
     cancelled_value, final_key, intake_value, open_key, Job, Mirror, OpenJob, Refusal,
 };
@@ -228,8 +228,10 @@
 pub type Submission = (Time, RequestId, Box<Job>);
 
 /// Requests that wait for the state service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Users {
+    /// Requests that may wait.
+    most: usize,
     /// Waiting for the next catch-up read to be sent.
     waiting: Vec<Ask>,
     /// Waiting for the answer of the one under way.
@@ -240,10 +242,21 @@
 }
 
 impl Users {
+    /// Nobody waits; so many requests may.
+    pub fn new(most: usize) -> Users {
+        Users {
+            most,
+            waiting: Vec::new(),
+            reading: Vec::new(),
+            accepts: VecDeque::new(),
+            accepting: Vec::new(),
+        }
+    }
+
     /// Whether another request would be one too many.
     pub fn full(&self) -> bool {
         self.waiting.len() + self.reading.len() + self.accepts.len() + self.accepting.len()
-            >= USER_QUEUE
+            >= self.most
     }
 
     /// An ask waits for the next catch-up read.
--- a/crates/worksshunt-core/src/users/tests.rs
+++ b/crates/worksshunt-core/src/users/tests.rs
@@ -1,9 +1,11 @@
 //! Tests of `users`.
 
+use crate::constants::LEAST_EXCHANGES;
+
 use super::*;
 
 fn users(jobs: u64) -> Users {
-    let mut users = Users::default();
+    let mut users = Users::new(LEAST_EXCHANGES);
     for id in 1..=jobs {
         let spec = serde_json::from_value(serde_json::json!({
             "Ref": JobId(id), "Carril": "c", "Cuadrilla": "t", "Oficio": "array",
--- /dev/null
+++ b/crates/worksshunt-core/tests/scale/loss.rs
@@ -0,0 +1,38 @@
+//! Machines that go silent together, and cancellations and ends in the middle of a change of leader.
+
+use std::collections::BTreeSet;
+
+use worksshunt_wire::JobId;
+
+use crate::fixtures::{finish, full_deployment, Users, JOBS_AT_ONCE};
+
+#[test]
+fn half_of_the_machines_are_cut_off_and_back_in_the_same_second() {
+    let mut cluster = full_deployment(40_000);
+    let mut users = Users::default();
+    cluster.trouble.copies_after_ms = vec![9_000, 30_000];
+    cluster.run(3_000);
+    cluster.trouble.zone_cut = Some(("b".into(), BTreeSet::new()));
+    users.ask_for(&mut cluster, 22);
+    cluster.trouble.zone_cut = None;
+    users.ask_for(&mut cluster, 20);
+    cluster.trouble.copies_after_ms.clear();
+    println!("{:?} {} {}", cluster.meter, users.served, users.refused);
+    finish(&mut cluster, 1..=JOBS_AT_ONCE + 8, 180_000);
+}
+
+#[test]
+fn a_leader_changes_amid_thousands_of_ends_and_hundreds_of_cancellations() {
+    let mut cluster = full_deployment(30_000);
+    let mut users = Users::default();
+    cluster.run(22_000);
+    for id in 1..=8 {
+        cluster.send_withdraw((id % 3) as usize, JobId(id));
+    }
+    cluster.run(700);
+    let leader = cluster.leader();
+    cluster.bounce(leader, 300);
+    users.ask_for(&mut cluster, 40);
+    println!("{:?} {} {}", cluster.meter, users.served, users.refused);
+    finish(&mut cluster, 9..=JOBS_AT_ONCE + 8, 180_000);
+}
--- /dev/null
+++ b/crates/worksshunt-core/tests/scale/start.rs
@@ -0,0 +1,26 @@
+//! The first minutes: the fleet is rented, comes up together, and goes back.
+
+use crate::fixtures::{deployment, finish, submit_jobs, Users, JOB_TASKS, MACHINES, TASKS_AT_ONCE};
+
+#[test]
+fn tasks_for_twice_the_fleet_wait_from_the_first_second() {
+    let mut cluster = deployment(MACHINES);
+    let mut users = Users::default();
+    cluster.run(2_000);
+    submit_jobs(&mut cluster, 1..=64);
+    cluster.run(3_000);
+    users.ask_for(&mut cluster, 13);
+    assert_eq!(cluster.workers.len(), MACHINES, "rented within 16 s");
+    users.ask_for(&mut cluster, 24);
+    let running = cluster.running().len();
+    assert!(running >= TASKS_AT_ONCE * 9 / 10, "{running} run");
+    finish(&mut cluster, 1..=64, 90_000);
+    let tasks = 64 * JOB_TASKS as usize;
+    assert_eq!(cluster.starts.len(), tasks, "each task started once");
+    assert_eq!(cluster.meter.launches, tasks as u64);
+    let begun = cluster.now;
+    cluster.until("an empty fleet", 60_000, |w| w.workers.is_empty());
+    println!("returned within {} ms", cluster.now - begun);
+    println!("{:?} {} {}", cluster.meter, users.served, users.refused);
+    cluster.check();
+}
--- a/crates/worksshunt-simulation/src/controllers.rs
+++ b/crates/worksshunt-simulation/src/controllers.rs
@@ -58,6 +58,11 @@
         self.nodes[node].is_some()
     }
 
+    /// Which of its lives a controller is in; none if it is down.
+    pub fn life(&self, node: usize) -> Option<u64> {
+        self.nodes[node].as_ref().map(|n| n.life)
+    }
+
     /// How many machines report to a controller.
     pub fn reporting_to(&self, node: usize) -> usize {
         self.workers.values().filter(|w| w.node == node).count()
--- a/crates/worksshunt-simulation/src/lib.rs
+++ b/crates/worksshunt-simulation/src/lib.rs
@@ -360,6 +360,12 @@
         Self::execute(worker, &Command::Launch { task, attempt });
     }
 
+    /// Puts a running task on a machine that is on no record and that no user asked for a second time: it is
+    /// of an attempt long past.
+    pub fn smuggle_orphan(&mut self, id: &MachineId, task: TaskId, attempt: u64) {
+        self.smuggle(id, task, attempt);
+    }
+
     /// The transactions kept back are applied now, long after they were sent.
     pub fn release_txns(&mut self) -> Vec<StoreReply> {
         let held = std::mem::take(&mut self.held_txns);
--- a/crates/worksshunt-wire/src/settings.rs
+++ b/crates/worksshunt-wire/src/settings.rs
@@ -176,4 +176,7 @@
 pub struct ProcessLimits {
     /// Sockets it may have.
     pub sockets: usize,
+    /// Memory it may hold, MB, where the platform says so.
+    #[serde(default)]
+    pub mem_mb: Option<f64>,
 }
--- a/crates/worksshunt/src/service.rs
+++ b/crates/worksshunt/src/service.rs
@@ -10,11 +10,12 @@
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use http_types::Method;
+use worksshunt_core::capacity::Capacity;
 use worksshunt_core::constants::{
     CLOUD_CONNECTIONS, CLOUD_DEADLINE_MS, IDLE_CONNECTION_MS, IDLE_REPORTS, ORDERS_DEADLINE_MS,
-    OWN_SOCKETS, PEER_CONNECTIONS, STATE_CONNECTIONS, SYNC_DEADLINE_MS, TICK_MS,
+    PEER_CONNECTIONS, STATE_CONNECTIONS, SYNC_DEADLINE_MS, TICK_MS,
 };
-use worksshunt_core::controller::{worker_connections, Action, Controller, Event};
+use worksshunt_core::controller::{Action, Controller, Event};
 use worksshunt_core::placement::Parameters;
 use worksshunt_core::time::{Now, Time};
 use worksshunt_core::users::{Reply, RequestId};
@@ -51,9 +52,7 @@
 pub fn run(settings: Settings, parameters: Parameters) -> Result<Infallible, RunError> {
     let users = listen(&settings.client_listen)?;
     let internal = listen(&settings.internal_addr)?;
-    let free = settings.facts.limits.sockets.saturating_sub(OWN_SOCKETS);
-    let worker_connections = worker_connections(&settings);
-    let connections = free - worker_connections;
+    let capacity = Capacity::new(&settings);
     let quiet = Duration::from_secs_f64(settings.facts.workers.report_s * IDLE_REPORTS);
     let idle = quiet.max(Duration::from_millis(IDLE_CONNECTION_MS));
     let peers = settings
@@ -73,7 +72,7 @@
         executor: Rc::clone(&executor),
         state: HttpClient::new(address(&settings.services.state)?, STATE_CONNECTIONS),
         cloud: HttpClient::new(address(&settings.services.cloud)?, CLOUD_CONNECTIONS),
-        workers: Workers::new(worker_connections),
+        workers: Workers::new(capacity.worker_connections),
         peers,
         controller: RefCell::new(Controller::new(settings, parameters)),
         started: Instant::now(),
@@ -95,7 +94,7 @@
         .spawn(server::serve(
             Rc::clone(&executor),
             users,
-            connections,
+            capacity.connections,
             idle,
             handler,
         ))
