Clients share connections that run short; frames over their limit are named in the log

Need: with more machines than connections, the machines that came last were never heard and lost their leases. From seven eighths of the connections on each is closed after its answer, which the protocol allows to both sides. Frames over the limit are refused with their size, by writer and reader. Settings whose state service cannot carry leases and epochs are refused with exit code 2; guarantees that imply more machines than a controller has connections, or more records than can be written within a lease, are warned of with the number needed.

--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -67,6 +67,8 @@
     load: Load,
     load_retry: Periodic,
     catalog: Option<Catalog>,
+    /// Settings that fall short of the fleet were told of.
+    warned_of_shortfalls: bool,
     /// The catalogue as it is in the store, where known.
     catalog_kept: Option<Catalog>,
     progress: Progress,
@@ -145,6 +147,7 @@
             load: Load::default(),
             load_retry: Periodic::default(),
             catalog: None,
+            warned_of_shortfalls: false,
             catalog_kept: None,
             progress: Progress::new(),
             lanes: Lanes::new(&facts.state),
--- a/crates/worksshunt-core/src/controller/requests.rs
+++ b/crates/worksshunt-core/src/controller/requests.rs
@@ -1,8 +1,10 @@
 //! Requests of users and workers, and the cloud's answers.
 
+use worksshunt_wire::cloud::Catalog;
 use worksshunt_wire::worker::{Redirect, Report, ReportAnswer};
 use worksshunt_wire::JobId;
 
+use crate::capacity::{shortfalls, Shortfall};
 use crate::constants::*;
 use crate::fleet::CloudRequest;
 use crate::jobs::{
@@ -335,6 +337,7 @@
         match (request, reply) {
             (CloudRequest::Catalog, CloudReply::Catalog(catalog)) => {
                 self.catalog_turn.in_flight = false;
+                self.warn_of_shortfalls(&catalog);
                 self.catalog = Some(catalog);
             }
             (CloudRequest::Catalog, _) => self.catalog_turn.retry(now, CATALOG_RETRY_MS),
@@ -375,6 +378,38 @@
     }
 }
 
+impl Controller {
+    /// Tells once of settings that fall short of the fleet that the guarantees imply.
+    fn warn_of_shortfalls(&mut self, catalog: &Catalog) {
+        if self.warned_of_shortfalls {
+            return;
+        }
+        self.warned_of_shortfalls = true;
+        for shortfall in shortfalls(&self.settings, catalog) {
+            match shortfall {
+                Shortfall::Connections {
+                    machines,
+                    sockets_needed,
+                } => tracing::warn!(
+                    machines,
+                    sockets_needed,
+                    sockets = self.settings.facts.limits.sockets,
+                    "fewer sockets than machines guaranteed: a controller left alone has workers share connections"
+                ),
+                Shortfall::StateWrites {
+                    machines,
+                    write_rps_needed,
+                } => tracing::warn!(
+                    machines,
+                    write_rps_needed,
+                    write_rps = self.settings.facts.state.write_rps,
+                    "launches on all machines guaranteed take longer to record than a lease lasts"
+                ),
+            }
+        }
+    }
+}
+
 fn accept_all(jobs: Vec<Submission>, out: &mut Vec<Action>) {
     for (_, request, job) in jobs {
         out.push(Action::Reply(request, accepted(job.spec.id)));
--- /dev/null
+++ b/crates/worksshunt-net/src/connections.rs
@@ -0,0 +1,103 @@
+//! Counts open connections against their limit.
+//!
+//! A controller has a limited number of sockets, and may have to serve more clients than that: all machines when it
+//! is the only one left. So when connections run short each is closed after its answer, and the clients share
+//! them, at the price of opening a new one for each request.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use worksshunt_core::constants::SPARE_CONNECTIONS;
+
+/// How open connections compare with their limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Supply {
+    /// Connections are kept open.
+    Ample,
+    /// They are closed after each answer.
+    Short,
+    /// There were none left for a newcomer; the others are closed after each answer.
+    UsedUp,
+}
+
+/// Open connections of a listener.
+#[derive(Debug)]
+pub struct Connections {
+    most: usize,
+    open: Cell<usize>,
+    supply: Cell<Supply>,
+}
+
+/// One open connection.
+#[derive(Debug)]
+pub struct Slot(Rc<Connections>);
+
+impl Connections {
+    /// At most so many.
+    pub fn new(most: usize) -> Rc<Connections> {
+        Rc::new(Connections {
+            most,
+            open: Cell::new(0),
+            supply: Cell::new(Supply::Ample),
+        })
+    }
+
+    /// Counts another connection in, unless there are as many as there may be.
+    pub fn begin(self: &Rc<Connections>) -> Option<Slot> {
+        if self.open.get() >= self.most {
+            self.set_supply(Supply::UsedUp);
+            return None;
+        }
+        self.open.set(self.open.get() + 1);
+        let spare = self.most / SPARE_CONNECTIONS;
+        if self.open.get() > self.most - spare && self.supply.get() == Supply::Ample {
+            self.set_supply(Supply::Short);
+        }
+        Some(Slot(Rc::clone(self)))
+    }
+
+    /// Whether connections run short, so that each is to be closed after its answer.
+    pub fn short(&self) -> bool {
+        self.supply.get() != Supply::Ample
+    }
+
+    fn end(&self) {
+        self.open.set(self.open.get().saturating_sub(1));
+        // Twice what has to be spare, so that it does not change to and fro.
+        let ample = self.most - self.most / SPARE_CONNECTIONS * 2;
+        if self.open.get() <= ample {
+            self.set_supply(Supply::Ample);
+        }
+    }
+
+    /// The one place where the supply changes.
+    fn set_supply(&self, next: Supply) {
+        let before = self.supply.replace(next);
+        if before == next {
+            return;
+        }
+        let (open, most) = (self.open.get(), self.most);
+        match next {
+            Supply::Ample => tracing::info!(open, most, "connections are kept open again"),
+            Supply::Short => {
+                tracing::warn!(
+                    open,
+                    most,
+                    "connections run short: closed after each answer"
+                );
+            }
+            Supply::UsedUp => {
+                tracing::warn!(open, most, "no connection is left: newcomers are refused");
+            }
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.end();
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/worksshunt-net/src/lib.rs
+++ b/crates/worksshunt-net/src/lib.rs
@@ -3,7 +3,6 @@
 //! Nothing in here decides anything. Every connection count is bounded and every call has a
 //! deadline.
 
-use std::cell::Cell;
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -12,8 +11,11 @@
 use async_io::Async;
 use worksshunt_core::constants::ACCEPT_PAUSE_MS;
 
+use connections::Connections;
+
 pub mod client;
 pub mod cloud;
+pub mod connections;
 pub mod peer;
 pub mod server;
 pub mod state;
@@ -43,10 +45,9 @@
 pub(crate) async fn accept<F: Future<Output = ()> + 'static>(
     executor: Rc<Executor>,
     listener: Async<TcpListener>,
-    connections: usize,
+    connections: Rc<Connections>,
     serve: impl Fn(Async<TcpStream>, SocketAddr) -> F,
 ) {
-    let open = Rc::new(Cell::new(0usize));
     loop {
         let (stream, from) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -56,18 +57,15 @@
                 continue;
             }
         };
-        if open.get() >= connections {
-            tracing::debug!(%from, "too many connections");
+        let Some(slot) = connections.begin() else {
             continue;
-        }
+        };
         let _ = stream.get_ref().set_nodelay(true);
-        open.set(open.get() + 1);
-        let open = Rc::clone(&open);
         let served = serve(stream, from);
         executor
             .spawn(async move {
                 served.await;
-                open.set(open.get() - 1);
+                drop(slot);
             })
             .detach();
     }
--- a/crates/worksshunt-net/src/peer.rs
+++ b/crates/worksshunt-net/src/peer.rs
@@ -15,33 +15,60 @@
 use worksshunt_wire::peer::{PeerAnswer, PeerRequest};
 
 use crate::client::CallError;
+use crate::connections::Connections;
 use crate::{accept, within, Executor};
 
+/// Why a frame could not be sent or read.
+#[derive(Debug, thiserror::Error)]
+enum FrameError {
+    /// It is longer than a peer takes.
+    #[error("a frame of {0} bytes is over the limit of {FRAME_BYTES}")]
+    TooLong(usize),
+    /// The connection failed, or what came is no message of this version.
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+}
+
+impl FrameError {
+    /// Tells of it in the log, as a warning where the messages have outgrown the link.
+    fn log(&self, peer: SocketAddr) {
+        match self {
+            FrameError::TooLong(bytes) => {
+                tracing::warn!(%peer, bytes, most = FRAME_BYTES, "frame too long: refused");
+            }
+            FrameError::Io(error) => tracing::debug!(%peer, %error, "peer connection ended"),
+        }
+    }
+}
+
 async fn write_frame<T: BorshSerialize>(
     stream: &mut (impl AsyncWrite + Unpin),
     message: &T,
-) -> std::io::Result<()> {
+) -> Result<(), FrameError> {
     let body = borsh::to_vec(message)?;
-    let length = u32::try_from(body.len()).map_err(|_| std::io::ErrorKind::InvalidInput)?;
+    if body.len() > FRAME_BYTES {
+        return Err(FrameError::TooLong(body.len()));
+    }
+    let length = body.len() as u32;
     let mut frame = Vec::with_capacity(body.len() + 4);
     frame.extend_from_slice(&length.to_le_bytes());
     frame.extend_from_slice(&body);
     stream.write_all(&frame).await?;
-    stream.flush().await
+    Ok(stream.flush().await?)
 }
 
 async fn read_frame<T: BorshDeserialize>(
     stream: &mut (impl AsyncRead + Unpin),
-) -> std::io::Result<T> {
+) -> Result<T, FrameError> {
     let mut length = [0; 4];
     stream.read_exact(&mut length).await?;
     let length = u32::from_le_bytes(length) as usize;
     if length > FRAME_BYTES {
-        return Err(std::io::ErrorKind::InvalidData.into());
+        return Err(FrameError::TooLong(length));
     }
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await?;
-    borsh::from_slice(&body)
+    Ok(borsh::from_slice(&body)?)
 }
 
 /// A client of one peer, with one connection.
@@ -78,7 +105,10 @@
                     stream
                 }
             };
-            let http = |error: std::io::Error| CallError::Http(error.to_string());
+            let http = |error: FrameError| {
+                error.log(self.addr);
+                CallError::Http(error.to_string())
+            };
             write_frame(&mut stream, request).await.map_err(http)?;
             let answer = read_frame(&mut stream).await.map_err(http)?;
             *self.kept.borrow_mut() = Some(stream);
@@ -98,6 +128,7 @@
     connections: usize,
     handler: PeerHandler,
 ) {
+    let connections = Connections::new(connections);
     accept(executor, listener, connections, |stream, from| {
         connection(stream, from, Rc::clone(&handler))
     })
@@ -105,15 +136,18 @@
 }
 
 async fn connection(mut stream: Async<TcpStream>, from: SocketAddr, handler: PeerHandler) {
-    while let Ok(request) = read_frame(&mut stream).await {
+    loop {
+        let request = match read_frame(&mut stream).await {
+            Ok(request) => request,
+            Err(error) => return error.log(from),
+        };
         let Some(answer) = handler(request).await else {
-            break;
+            return tracing::debug!(%from, "peer connection ended");
         };
-        if write_frame(&mut stream, &answer).await.is_err() {
-            break;
+        if let Err(error) = write_frame(&mut stream, &answer).await {
+            return error.log(from);
         }
     }
-    tracing::debug!(%from, "peer connection ended");
 }
 
 #[cfg(test)]
--- a/crates/worksshunt-net/src/peer/tests.rs
+++ b/crates/worksshunt-net/src/peer/tests.rs
@@ -13,7 +13,7 @@
     bytes.into_inner()
 }
 
-fn read<T: BorshDeserialize>(bytes: Vec<u8>) -> std::io::Result<T> {
+fn read<T: BorshDeserialize>(bytes: Vec<u8>) -> Result<T, FrameError> {
     block_on(read_frame(&mut Cursor::new(bytes)))
 }
 
@@ -45,8 +45,21 @@
 #[test]
 fn a_frame_over_the_limit_or_cut_short_is_an_error() {
     let length = u32::try_from(FRAME_BYTES + 1).expect("fits").to_le_bytes();
-    assert!(read::<PeerRequest>(length.to_vec()).is_err());
+    let refused = read::<PeerRequest>(length.to_vec());
+    assert!(matches!(refused, Err(FrameError::TooLong(bytes)) if bytes == FRAME_BYTES + 1));
     let mut short = framed(&PeerRequest::KnownEpoch { poll: 3 });
     short.pop();
     assert!(read::<PeerRequest>(short).is_err());
 }
+
+#[test]
+fn a_message_is_sent_up_to_the_limit_and_refused_beyond_it() {
+    let overhead = borsh::to_vec(&Vec::<u8>::new()).expect("bytes").len();
+    let longest = vec![7_u8; FRAME_BYTES - overhead];
+    assert_eq!(read::<Vec<u8>>(framed(&longest)).expect("read"), longest);
+    let longer = vec![7_u8; FRAME_BYTES - overhead + 1];
+    let mut bytes = Cursor::new(Vec::new());
+    let refused = block_on(write_frame(&mut bytes, &longer));
+    assert!(matches!(refused, Err(FrameError::TooLong(size)) if size == FRAME_BYTES + 1));
+    assert!(bytes.into_inner().is_empty(), "nothing of it was sent");
+}
--- a/crates/worksshunt-net/src/server.rs
+++ b/crates/worksshunt-net/src/server.rs
@@ -13,6 +13,7 @@
 use worksshunt_core::constants::BODY_BYTES;
 use worksshunt_core::users::Reply;
 
+use crate::connections::Connections;
 use crate::{accept, within, Executor, Stream};
 
 /// A request as the service sees it.
@@ -38,28 +39,53 @@
     idle: Duration,
     handler: Handler,
 ) {
-    accept(executor, listener, connections, |stream, from| {
-        connection(Stream::new(stream), from, idle, Rc::clone(&handler))
-    })
+    let connections = Connections::new(connections);
+    accept(
+        executor,
+        listener,
+        Rc::clone(&connections),
+        |stream, from| {
+            let connections = Rc::clone(&connections);
+            connection(
+                Stream::new(stream),
+                from,
+                idle,
+                connections,
+                Rc::clone(&handler),
+            )
+        },
+    )
     .await;
 }
 
-async fn connection(stream: Stream, from: SocketAddr, idle: Duration, handler: Handler) {
+async fn connection(
+    stream: Stream,
+    from: SocketAddr,
+    idle: Duration,
+    connections: Rc<Connections>,
+    handler: Handler,
+) {
     let mut server = Server::new(stream.clone(), |mut request: Request| {
         let handler = Rc::clone(&handler);
+        let connections = Rc::clone(&connections);
         async move {
             let mut body = Vec::new();
             let declared = request.len().unwrap_or(0);
             let mut limited = request.take_body().take(BODY_BYTES as u64 + 1);
             limited.read_to_end(&mut body).await?;
             let fits = declared <= BODY_BYTES && body.len() <= BODY_BYTES;
+            if !fits {
+                let read = body.len();
+                tracing::info!(%from, declared, read, most = BODY_BYTES, "request body too long: refused");
+            }
             let reply = handler(Incoming {
                 method: request.method(),
                 path: request.url().path().to_owned(),
                 body: fits.then_some(body),
             })
             .await;
-            Ok(respond(reply, fits))
+            // The rest of an oversized body was not read.
+            Ok(respond(reply, fits && !connections.short()))
         }
     });
     loop {
@@ -87,7 +113,6 @@
         response.insert_header("Retry-After", seconds.to_string());
     }
     if !keep {
-        // The rest of an oversized body was not read.
         response.insert_header("Connection", "close");
     }
     response
--- a/crates/worksshunt/src/options.rs
+++ b/crates/worksshunt/src/options.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 
 use serde::Deserialize;
-use worksshunt_core::constants::{LEAST_SOCKETS, LEAST_TXN_OPS, LEAST_VALUE_KB};
+use worksshunt_core::constants::{LEAST_SOCKETS, LEAST_STATE_RPS, LEAST_TXN_OPS, LEAST_VALUE_KB};
 use worksshunt_core::placement::Parameters;
 use worksshunt_wire::settings::{Settings, Team};
 
@@ -168,6 +168,18 @@
     ] {
         rate.map_or(Ok(()), |rate| positive(field, rate))?;
     }
+    let controllers = settings.known.len() + 1;
+    let least = LEAST_STATE_RPS * controllers as f64;
+    for (field, rps) in [
+        ("facts.state.rps", Some(today.rps)),
+        ("facts.state.next.rps", next.rps),
+    ] {
+        if let Some(rps) = rps.filter(|rps| *rps < least) {
+            return Err(format!(
+                "{field}: {rps} is below the {least} that leases and epochs of {controllers} controllers take"
+            ));
+        }
+    }
     for (field, kb) in [
         ("facts.state.value_kb", Some(today.value_kb)),
         ("facts.state.next.value_kb", next.value_kb),
--- a/crates/worksshunt/src/options/tests.rs
+++ b/crates/worksshunt/src/options/tests.rs
@@ -96,6 +96,20 @@
     }
 }
 
+#[test]
+fn a_state_service_too_slow_for_leases_is_refused_just_below_what_they_take() {
+    // Two controllers.
+    assert_eq!(problem(|v| v["facts"]["state"]["rps"] = 4.0.into()), Ok(()));
+    let error = problem(|v| v["facts"]["state"]["rps"] = 3.9.into());
+    assert!(error
+        .expect_err("too slow")
+        .starts_with("facts.state.rps: 3.9 "));
+    let error = problem(|v| v["facts"]["state"]["next"] = serde_json::json!({"rps": 1.0}));
+    assert!(error
+        .expect_err("too slow")
+        .starts_with("facts.state.next.rps: 1 "));
+}
+
 // Guards against a service that does not start where a team has a guarantee and no limit.
 #[test]
 fn a_guarantee_lies_within_a_limit_of_zero_which_is_none() {
