Claims, preemption and ends of jobs at 4,000 machines; a package that measures growth

Machines that may be claimed are gone through once; what runs there only where tasks of its kind may be stopped at all; ends use the share of intake while nothing waits there. Choices stay as they were.

--- a/crates/worksshunt-core/src/controller/lanes.rs
+++ b/crates/worksshunt-core/src/controller/lanes.rs
@@ -148,6 +148,26 @@
         self.line(lane).writes.available(now).min(most)
     }
 
+    /// Changes that a write of ends may have now. Where no jobs taken in together wait for keys of their own, ends
+    /// use that share as well: with 4,000 machines more than their own comes to an end.
+    pub fn ends_at_once(&mut self, now: Time, intake_waits: bool) -> usize {
+        let lent = match intake_waits {
+            true => 0,
+            false => self.intake.writes.available(now),
+        };
+        (self.ends.writes.available(now) + lent).min(self.txn_ops)
+    }
+
+    /// Counts so many changes of a lane as sent: what is beyond the share of ends as lent to them.
+    pub fn charge(&mut self, lane: Lane, changes: usize, now: Time) {
+        let own = match lane {
+            Lane::Ends => self.ends.writes.available(now).min(changes),
+            _ => changes,
+        };
+        self.line(lane).writes.take(own);
+        self.intake.writes.take(changes - own);
+    }
+
     pub fn line(&mut self, lane: Lane) -> &mut Line {
         match lane {
             Lane::Records => &mut self.records,
--- a/crates/worksshunt-core/src/controller/writes.rs
+++ b/crates/worksshunt-core/src/controller/writes.rs
@@ -75,12 +75,12 @@
             }
             self.lanes.line(lane).under_way = Some(txn);
         }
-        let line = self.lanes.line(lane);
-        let Some(txn) = line.under_way.clone() else {
+        let Some(txn) = self.lanes.line(lane).under_way.clone() else {
             return;
         };
+        self.lanes.charge(lane, txn.changes.len(), now);
+        let line = self.lanes.line(lane);
         line.turn.sent(now, 0);
-        line.writes.take(txn.changes.len());
         let number = line.copies.begin(now);
         store(out, StoreTag::Write(lane, token, number), StoreOp::Txn(txn));
     }
@@ -98,12 +98,8 @@
     }
 
     fn ends_txn(&mut self, now: Time, txn: &mut Txn) {
-        let most = self
-            .lanes
-            .ends
-            .writes
-            .available(now)
-            .min(self.lanes.txn_ops);
+        let intake_waits = self.mirror.intake().next().is_some();
+        let most = self.lanes.ends_at_once(now, intake_waits);
         let Some(leader) = &mut self.leader else {
             return;
         };
--- a/crates/worksshunt-core/src/scheduler/claims.rs
+++ b/crates/worksshunt-core/src/scheduler/claims.rs
@@ -38,6 +38,13 @@
     state: ClaimState,
 }
 
+/// A machine that may be claimed.
+struct Candidate<'a> {
+    machine: &'a MachineUp,
+    /// Processors free on it, or once the narrowest of its tasks ends.
+    will_leave: f64,
+}
+
 impl Scheduler {
     /// Claims machines for jobs whose next task has found room in no part for a while: the leader
     /// takes them out of their parts until the task fits.
@@ -57,25 +64,8 @@
         if free_claims == 0 || stuck.is_empty() {
             return;
         }
-        let mut narrowest: BTreeMap<&MachineId, f64> = BTreeMap::new();
-        for out in self.outs.values().filter(|o| o.phase != Phase::Completed) {
-            if let (Some(machine), Some(job)) = (&out.machine, &out.job) {
-                let least = narrowest.entry(machine).or_insert(f64::MAX);
-                *least = least.min(job.spec.cpus);
-            }
-        }
-        let mut candidates: Vec<&MachineUp> = self
-            .machines()
-            .map(|view| &view.up)
-            .filter(|m| {
-                m.usable
-                    && !m.noticed
-                    && !self.claims.contains_key(&m.id)
-                    // A former leader's claim has to go first.
-                    && !self.due.contains(&Due::Remove(claim_key(&m.id)))
-            })
-            .collect();
-        candidates.sort_by(|a, b| b.cpus.total_cmp(&a.cpus).then(a.id.cmp(&b.id)));
+        let widest = stuck.iter().map(|job| job.spec.cpus).fold(0.0, f64::max);
+        let candidates = self.claimable(widest);
         let mut chosen: BTreeMap<MachineId, JobId> = BTreeMap::new();
         for job in stuck {
             if free_claims == 0 {
@@ -87,19 +77,15 @@
             let held = self.claims.values().filter(|c| c.job == id).count();
             let more = wanted.saturating_sub(held).min(free_claims);
             let zones = self.allowed_zones(&job);
-            // Only a task that needs more than the next task to end will leave has to be helped;
-            // the rest find room by themselves. Even where room is left beside that, narrower tasks
-            // would take it first.
-            let helps = |m: &&&MachineUp| {
-                let next = narrowest.get(&m.id).copied().unwrap_or(0.0);
-                m.cpus < job.spec.cpus
-                    && next < job.spec.cpus
+            let helps = |candidate: &&Candidate| {
+                let m = candidate.machine;
+                candidate.will_leave < job.spec.cpus
                     && !chosen.contains_key(&m.id)
                     && job.allows(&m.machine_type, &m.zone, m.spot)
                     && zones.as_ref().is_none_or(|zones| zones.contains(&m.zone))
             };
             let machines = candidates.iter().filter(helps).take(more);
-            let machines: Vec<MachineId> = machines.map(|m| m.id.clone()).collect();
+            let machines: Vec<MachineId> = machines.map(|c| c.machine.id.clone()).collect();
             free_claims = free_claims.saturating_sub(machines.len());
             chosen.extend(machines.into_iter().map(|machine| (machine, id)));
         }
@@ -111,6 +97,42 @@
         }
     }
 
+    /// Machines that may be claimed for a task of at most so many processors, those with most free first. Only a
+    /// task that needs more than the next task to end will leave has to be helped; the rest find room by
+    /// themselves. Even where room is left beside that, narrower tasks would take it first.
+    fn claimable(&self, widest: f64) -> Vec<Candidate<'_>> {
+        let mut narrowest: BTreeMap<&MachineId, f64> = BTreeMap::new();
+        for out in self.outs.values().filter(|o| o.phase != Phase::Completed) {
+            if let (Some(machine), Some(job)) = (&out.machine, &out.job) {
+                let least = narrowest.entry(machine).or_insert(f64::MAX);
+                *least = least.min(job.spec.cpus);
+            }
+        }
+        let mut candidates: Vec<Candidate> = self
+            .machines()
+            .map(|view| &view.up)
+            .filter_map(|machine| {
+                let next = narrowest.get(&machine.id).copied().unwrap_or(0.0);
+                let will_leave = machine.cpus.max(next);
+                let may_be_claimed = will_leave < widest
+                    && machine.usable
+                    && !machine.noticed
+                    && !self.claims.contains_key(&machine.id)
+                    // A former leader's claim has to go first.
+                    && !self.due.contains(&Due::Remove(claim_key(&machine.id)));
+                may_be_claimed.then_some(Candidate {
+                    machine,
+                    will_leave,
+                })
+            })
+            .collect();
+        candidates.sort_by(|a, b| {
+            let (a, b) = (a.machine, b.machine);
+            b.cpus.total_cmp(&a.cpus).then(a.id.cmp(&b.id))
+        });
+        candidates
+    }
+
     /// Lets go of machines that are no longer there, or whose job has no waiting task.
     fn release_idle_claims(&mut self) {
         let idle: Vec<MachineId> = self
--- a/crates/worksshunt-core/src/scheduler/preempt.rs
+++ b/crates/worksshunt-core/src/scheduler/preempt.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 
 use worksshunt_wire::peer::{MachineUp, Phase};
-use worksshunt_wire::{Attempt, MachineId};
+use worksshunt_wire::user::Priority;
+use worksshunt_wire::{Attempt, MachineId, TeamName};
 
 use crate::constants::{PREEMPT_AFTER_MS, REPLICA_LOSS_MS};
 use crate::jobs::Job;
@@ -33,6 +34,41 @@
     loses_ms: u64,
     attempt: Attempt,
     job: Rc<Job>,
+    /// Index of its class.
+    class: usize,
+}
+
+/// What decides whether a task may be stopped for another one, apart from how much of its team's guarantee is used.
+type Class = (TeamName, Priority);
+
+fn class_of(job: &Job) -> Class {
+    (job.spec.team.clone(), job.spec.priority)
+}
+
+/// The machines that room can be made on, and the classes of tasks there.
+struct Grounds<'a> {
+    machines: BTreeMap<MachineId, Ground<'a>>,
+    /// A job of each class, by index.
+    classes: Vec<Rc<Job>>,
+}
+
+impl Grounds<'_> {
+    /// Which classes of tasks may be stopped for the job as long as none is.
+    fn stoppable(&self, job: &Job, guarantee: Guarantee, quota: &Quota) -> Vec<bool> {
+        let may = |other: &Rc<Job>| {
+            let over = quota.over_guarantee_without(&other.spec.team, std::iter::empty());
+            may_stop(other, over, job, guarantee)
+        };
+        self.classes.iter().map(may).collect()
+    }
+
+    /// Whether room for the job can be there at all: on some machine as it is, or where tasks may be stopped. Most
+    /// jobs that wait on a full fleet are answered for by this, without a look at what runs on each machine.
+    fn may_have_room(&self, job: &Job, stoppable: &[bool]) -> bool {
+        let need = Room::of_job(job);
+        let mut machines = self.machines.values();
+        stoppable.contains(&true) || machines.any(|ground| ground.room.holds(&need))
+    }
 }
 
 /// A machine with the room that is or will be free there, and what runs on it.
@@ -105,12 +141,16 @@
                 if !quota.admits(job) || !self.presses(job, now, guaranteed) {
                     break;
                 }
+                let stoppable = grounds.stoppable(job, guarantee, &quota);
+                if !grounds.may_have_room(job, &stoppable) {
+                    break;
+                }
                 let zone = make_room(
                     job,
-                    guarantee,
+                    (guarantee, &stoppable),
                     zones.as_ref(),
                     &mut quota,
-                    &mut grounds,
+                    &mut grounds.machines,
                     &mut chosen,
                 );
                 let Some(zone) = zone else { break };
@@ -122,7 +162,9 @@
         chosen
     }
 
-    fn grounds(&self, now: Now) -> BTreeMap<MachineId, Ground<'_>> {
+    fn grounds(&self, now: Now) -> Grounds<'_> {
+        let mut indices: BTreeMap<Class, usize> = BTreeMap::new();
+        let mut classes: Vec<Rc<Job>> = Vec::new();
         let mut grounds: BTreeMap<MachineId, Ground> = self
             .machines()
             .filter(|view| view.up.usable && !view.up.noticed)
@@ -158,16 +200,24 @@
                 every if every > 0.0 => ran_ms.min((every * 1_000.0) as u64),
                 _ => ran_ms,
             };
+            let class = *indices.entry(class_of(job)).or_insert_with(|| {
+                classes.push(Rc::clone(job));
+                classes.len() - 1
+            });
             ground.victims.push(Victim {
                 loses_ms,
                 attempt: *attempt,
                 job: Rc::clone(job),
+                class,
             });
         }
         for ground in grounds.values_mut() {
             ground.victims.sort_by_key(|v| (v.loses_ms, v.attempt));
         }
-        grounds
+        Grounds {
+            machines: grounds,
+            classes,
+        }
     }
 }
 
@@ -175,7 +225,7 @@
 /// the zone, if there is one.
 fn make_room(
     job: &Job,
-    guarantee: Guarantee,
+    (guarantee, stoppable): (Guarantee, &[bool]),
     zones: Option<&BTreeMap<String, u32>>,
     quota: &mut Quota,
     grounds: &mut BTreeMap<MachineId, Ground>,
@@ -198,6 +248,9 @@
             if room.holds(&need) {
                 break;
             }
+            if !stoppable[victim.class] {
+                continue;
+            }
             // Those before it may have brought its team back within its guarantee.
             let same_team = stopped
                 .iter()
@@ -212,6 +265,9 @@
         }
         if room.holds(&need) && best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
             best = Some((cost, id.clone(), stopped));
+            if cost == 0 {
+                break;
+            }
         }
     }
     let (lost_ms, id, stopped) = best?;
--- a/crates/worksshunt-core/tests/scale/fixtures.rs
+++ b/crates/worksshunt-core/tests/scale/fixtures.rs
@@ -1,8 +1,7 @@
 //! The deployment of the scenarios, its jobs, and users who keep asking.
 
 use serde_json::{json, Value};
-use worksshunt_core::time::Bucket;
-use worksshunt_simulation::{job, large_settings, Cluster};
+use worksshunt_simulation::{job, Cluster};
 use worksshunt_wire::JobId;
 
 /// Machines of the deployment.
@@ -18,22 +17,6 @@
 /// Questions a second: 600 open jobs, each asked about every five seconds.
 const QUESTIONS_PER_S: u64 = 120;
 
-/// A deployment of so many machines, with the rates of the state service and the cloud that its settings name.
-pub fn deployment(machines: usize) -> Cluster {
-    let mut cluster = Cluster::with_settings(|name| large_settings(name, machines));
-    let facts = &cluster.settings[0].facts;
-    let bucket = |rate: f64| Bucket::new(rate, rate);
-    cluster.state_rates = Some((bucket(facts.state.rps), bucket(facts.state.write_rps)));
-    cluster.cloud_rate = Some(Bucket::new(facts.cloud.rps, facts.cloud.rps * 2.0));
-    cluster.worker_step_ms = 250;
-    cluster.capacity = machines;
-    cluster.ready_s = 25.0;
-    cluster.boot_ms = 20_000;
-    cluster.run_ms = 20_000;
-    cluster.list_lag_ms = 5_000;
-    cluster
-}
-
 /// A job of a team with [`JOB_TASKS`] tasks of one processor.
 pub fn wide_job(id: u64, team: &str) -> Value {
     let mut job = job(id, JOB_TASKS);
@@ -52,7 +35,7 @@
 
 /// A deployment of [`MACHINES`] machines, all full of tasks that run so long.
 pub fn full_deployment(run_ms: u64) -> Cluster {
-    let mut cluster = deployment(MACHINES);
+    let mut cluster = Cluster::large(MACHINES);
     cluster.run_ms = run_ms;
     cluster.boot_ms = 2_000;
     cluster.run(2_000);
--- a/crates/worksshunt-core/tests/scale/start.rs
+++ b/crates/worksshunt-core/tests/scale/start.rs
@@ -1,10 +1,12 @@
 //! The first minutes: the fleet is rented, comes up together, and goes back.
 
-use crate::fixtures::{deployment, finish, submit_jobs, Users, JOB_TASKS, MACHINES, TASKS_AT_ONCE};
+use worksshunt_simulation::Cluster;
+
+use crate::fixtures::{finish, submit_jobs, Users, JOB_TASKS, MACHINES, TASKS_AT_ONCE};
 
 #[test]
 fn tasks_for_twice_the_fleet_wait_from_the_first_second() {
-    let mut cluster = deployment(MACHINES);
+    let mut cluster = Cluster::large(MACHINES);
     let mut users = Users::default();
     cluster.run(2_000);
     submit_jobs(&mut cluster, 1..=64);
--- /dev/null
+++ b/crates/worksshunt-measure/src/main.rs
@@ -0,0 +1,123 @@
+//! Measures how the work of a controller grows with the fleet, on the simulated cluster, and plots it.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use stats_alloc::{StatsAlloc, INSTRUMENTED_SYSTEM};
+
+mod day;
+mod plot;
+mod report;
+mod series;
+
+use series::Series;
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<std::alloc::System> = &INSTRUMENTED_SYSTEM;
+
+/// Exit code: a file could not be read or written.
+const FAILED: u8 = 1;
+
+#[derive(Parser)]
+#[command(version, about)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays days of fleets of several sizes and writes what was measured.
+    Run {
+        /// Sizes of the fleet.
+        #[arg(long, value_delimiter = ',', default_values_t = [250, 500, 1_000, 2_000, 4_000, 6_000])]
+        machines: Vec<usize>,
+        /// Days of each size.
+        #[arg(long, default_value_t = 3)]
+        runs: usize,
+        /// What these sources are called in the report.
+        #[arg(long)]
+        label: String,
+        /// The file of results (JSON).
+        #[arg(long)]
+        out: PathBuf,
+    },
+    /// Makes a report (HTML) of files of results.
+    Report {
+        /// Files of results, the version before first.
+        #[arg(required = true)]
+        results: Vec<PathBuf>,
+        /// The report.
+        #[arg(long)]
+        out: PathBuf,
+    },
+}
+
+/// Why there is no result.
+#[derive(Debug, thiserror::Error)]
+enum MeasureError {
+    /// A file could not be read or written.
+    #[error("{0}: {1}")]
+    File(PathBuf, std::io::Error),
+    /// A file of results is not one.
+    #[error("{0}: {1}")]
+    Results(PathBuf, serde_json::Error),
+    /// A plot could not be drawn.
+    #[error("cannot plot: {0}")]
+    Plot(String),
+}
+
+fn measure(machines: &[usize], runs: usize, label: String) -> Series {
+    let mut series = Series {
+        label,
+        days: Vec::new(),
+    };
+    for size in machines {
+        for run in 1..=runs {
+            eprintln!("{size} machines, run {run} of {runs}");
+            series.days.push(day::play(*size));
+        }
+    }
+    series
+}
+
+fn read(path: &PathBuf) -> Result<Series, MeasureError> {
+    let text = fs::read_to_string(path).map_err(|e| MeasureError::File(path.clone(), e))?;
+    serde_json::from_str(&text).map_err(|e| MeasureError::Results(path.clone(), e))
+}
+
+fn write(path: &PathBuf, text: &str) -> Result<(), MeasureError> {
+    fs::write(path, text).map_err(|e| MeasureError::File(path.clone(), e))
+}
+
+fn run(command: Command) -> Result<(), MeasureError> {
+    match command {
+        Command::Run {
+            machines,
+            runs,
+            label,
+            out,
+        } => {
+            let series = measure(&machines, runs, label);
+            let text = serde_json::to_string_pretty(&series)
+                .map_err(|e| MeasureError::Results(out.clone(), e))?;
+            write(&out, &text)
+        }
+        Command::Report { results, out } => {
+            let all = results.iter().map(read).collect::<Result<Vec<_>, _>>()?;
+            write(&out, &report::html(&all)?)
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Arguments::parse().command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("measure: {error}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
--- /dev/null
+++ b/crates/worksshunt-measure/src/report/tests.rs
@@ -0,0 +1,24 @@
+//! Tests of `report`.
+
+use super::*;
+use crate::series::Day;
+
+#[test]
+fn each_measurement_has_a_plot_with_all_versions_and_a_table() {
+    let series = |label: &str, value: f64| Series {
+        label: label.into(),
+        days: [(250, value), (500, value * 2.0)]
+            .map(|(machines, value)| {
+                let mut day = Day::new(machines);
+                day.put("tick: <longest>, ms", value);
+                day
+            })
+            .into(),
+    };
+    let page = html(&[series("before", 8.0), series("now", 4.0)]).expect("a page");
+    assert_eq!(page.matches("<svg").count(), 1);
+    assert_eq!(page.matches("<table>").count(), 2);
+    assert!(page.contains("<h2>tick: &lt;longest&gt;, ms</h2>"));
+    assert!(page.contains("<td>16.000</td><td>1.00</td>"));
+    assert!(page.contains("<td>8.000</td><td>1.00</td>"));
+}
--- a/crates/worksshunt-simulation/src/inspection.rs
+++ b/crates/worksshunt-simulation/src/inspection.rs
@@ -62,6 +62,12 @@
             .count()
     }
 
+    /// How many workers have been answered in this epoch or a later one.
+    pub fn answered_in(&self, epoch: u64) -> usize {
+        let workers = self.workers.values();
+        workers.filter(|worker| worker.token.0 >= epoch).count()
+    }
+
     /// How many direct orders were sent to a machine.
     pub fn orders_to(&self, id: &MachineId) -> usize {
         self.orders_sent.iter().filter(|to| *to == id).count()
--- a/crates/worksshunt-simulation/src/lib.rs
+++ b/crates/worksshunt-simulation/src/lib.rs
@@ -274,6 +274,23 @@
         cluster
     }
 
+    /// A deployment of so many machines with the rates of the state service and the cloud that its settings
+    /// name. Machines boot in 20 s and tasks run for as long.
+    pub fn large(machines: usize) -> Cluster {
+        let mut cluster = Cluster::with_settings(|name| large_settings(name, machines));
+        let facts = &cluster.settings[0].facts;
+        let bucket = |rate: f64| Bucket::new(rate, rate);
+        cluster.state_rates = Some((bucket(facts.state.rps), bucket(facts.state.write_rps)));
+        cluster.cloud_rate = Some(Bucket::new(facts.cloud.rps, facts.cloud.rps * 2.0));
+        cluster.worker_step_ms = 250;
+        cluster.capacity = machines;
+        cluster.ready_s = 25.0;
+        cluster.boot_ms = 20_000;
+        cluster.run_ms = 20_000;
+        cluster.list_lag_ms = 5_000;
+        cluster
+    }
+
     /// What is drawn from now on is drawn from this seed.
     pub fn seed(&mut self, seed: u64) {
         self.rng = fastrand::Rng::with_seed(seed);
