--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -96,6 +96,10 @@
 /// changes, and users wait for it.
 pub const END_SHARE: f64 = 0.2;
 
+/// Seconds that their share takes to write the ends that wait, from which on the log tells of it: users are told
+/// of an end within three seconds where it can be helped (protocol).
+pub const ENDS_BEHIND_S: f64 = 10.0;
+
 /// Share of the write limit that the leader uses for pages of completions and of former epochs' records,
 /// half of it for each. They are many to a page and nobody waits for them; with a share of their own
 /// they cannot keep the ends of jobs from theirs.
--- a/crates/worksshunt-core/src/controller/lanes.rs
+++ b/crates/worksshunt-core/src/controller/lanes.rs
@@ -105,6 +105,8 @@
     pub settled: BTreeSet<JobId>,
     pub refresh: Periodic,
     pub ending: Vec<End>,
+    /// More ends wait than are written in a while.
+    ends_behind: bool,
     write_rps: f64,
     pub txn_ops: usize,
     /// For submissions and cancellations.
@@ -123,6 +125,7 @@
             settled: BTreeSet::new(),
             refresh: Periodic::default(),
             ending: Vec::new(),
+            ends_behind: false,
             write_rps: state.write_rps,
             txn_ops: state.txn_ops,
             user_writes: share(USER_WRITE_SHARE, state.txn_ops),
@@ -148,6 +151,26 @@
         self.line(lane).writes.available(now).min(most)
     }
 
+    /// Tells when more ends of jobs wait than their share writes in a while, and when that is over.
+    pub fn tell_of_ends(&mut self, waiting: usize) {
+        // Each takes two changes.
+        let most = self.write_rps * END_SHARE / 2.0 * ENDS_BEHIND_S;
+        let behind = waiting as f64 > most;
+        if behind == std::mem::replace(&mut self.ends_behind, behind) {
+            return;
+        }
+        let write_rps = self.write_rps;
+        if behind {
+            tracing::warn!(
+                waiting,
+                write_rps,
+                "ends of jobs wait for the state service's limit of changes"
+            );
+        } else {
+            tracing::info!(waiting, "ends of jobs are written as they come again");
+        }
+    }
+
     /// Changes that a write of ends may have now. Where no jobs taken in together wait for keys of their own, ends
     /// use that share as well: with 4,000 machines more than their own comes to an end.
     pub fn ends_at_once(&mut self, now: Time, intake_waits: bool) -> usize {
--- a/crates/worksshunt-core/src/controller/leading.rs
+++ b/crates/worksshunt-core/src/controller/leading.rs
@@ -35,6 +35,7 @@
             if tracing::enabled!(tracing::Level::DEBUG) {
                 leader.scheduler.log_load();
             }
+            self.lanes.tell_of_ends(leader.scheduler.due().count());
             // What time alone brings about: jobs that may be tried again, or have waited too long.
             leader.scheduler.stir();
         }
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -59,6 +59,8 @@
     membership: Membership,
     mirror: Mirror,
     users: Users,
+    /// The last request found too many others waiting.
+    users_full: bool,
     capacity: Capacity,
     /// Attempts per epoch, if fewer than there are numbers.
     attempts_most: Option<u64>,
@@ -141,6 +143,7 @@
             follow_wait_ms: follow_wait_ms(knows_ms),
             mirror: Mirror::default(),
             users: Users::new(capacity.user_requests),
+            users_full: false,
             capacity,
             attempts_most: None,
             summary_every_ms: parameters.summary_every_ms,
--- a/crates/worksshunt-core/src/controller/requests.rs
+++ b/crates/worksshunt-core/src/controller/requests.rs
@@ -97,6 +97,20 @@
         out.push(Action::Reply(request, reply));
     }
 
+    /// Whether another request would be one too many; told of in the log when it begins.
+    fn users_are_full(&mut self) -> bool {
+        let full = self.users.full();
+        if full && !self.users_full {
+            let most = self.capacity.user_requests;
+            tracing::warn!(
+                most,
+                "too many requests wait for the state service: refused at once"
+            );
+        }
+        self.users_full = full;
+        full
+    }
+
     fn queue(&mut self, now: Time, ask: Ask) -> Result<(), Reply> {
         if !self.mirror.loaded() {
             return Err(Reply::later("starting"));
@@ -104,7 +118,7 @@
         if self.store_silent(now) {
             return Err(Reply::later("the state service does not answer"));
         }
-        if self.users.full() {
+        if self.users_are_full() {
             return Err(Reply::later("too many requests wait"));
         }
         self.users.wait(ask);
@@ -161,7 +175,7 @@
                     Reply::later("controllers that do not know services may be left")
                 } else if !self.mirror.loaded() || self.store_silent(now.steady) {
                     Reply::later("the state service does not answer")
-                } else if self.users.full() {
+                } else if self.users_are_full() {
                     Reply::later("too many requests wait")
                 } else {
                     if let Question::Submit(job) = ask.question {
--- /dev/null
+++ b/crates/worksshunt-measure/src/loopback/process.rs
@@ -0,0 +1,62 @@
+//! What a process uses, by the kernel's word.
+
+use std::fs;
+use std::time::Duration;
+
+/// Clock ticks of the kernel's processor times in a second.
+const TICKS_PER_S: f64 = 100.0;
+
+/// What a process uses.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Usage {
+    /// Resident memory, MB.
+    pub memory_mb: f64,
+    /// Open files, nearly all of them sockets.
+    pub files: usize,
+    /// Threads.
+    pub threads: usize,
+    /// Processor time since its start, seconds.
+    pub processor_s: f64,
+}
+
+/// A number behind a name in the text of `/proc/PID/status`.
+fn status_number(text: &str, name: &str) -> Option<f64> {
+    let line = text.lines().find(|line| line.starts_with(name))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
+
+/// Ticks of user and system time in the text of `/proc/PID/stat`, counted behind the name in brackets.
+fn processor_ticks(text: &str) -> Option<f64> {
+    let fields: Vec<&str> = text.rsplit(')').next()?.split_whitespace().collect();
+    let user: f64 = fields.get(11)?.parse().ok()?;
+    let system: f64 = fields.get(12)?.parse().ok()?;
+    Some(user + system)
+}
+
+impl Usage {
+    /// Of the process of that id; nothing if there is none.
+    pub fn of(pid: u32) -> Usage {
+        let read =
+            |name: &str| fs::read_to_string(format!("/proc/{pid}/{name}")).unwrap_or_default();
+        let status = read("status");
+        let files = fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, |files| files.count());
+        Usage {
+            memory_mb: status_number(&status, "VmRSS:").unwrap_or(0.0) / 1_000.0,
+            files,
+            threads: status_number(&status, "Threads:").unwrap_or(0.0) as usize,
+            processor_s: processor_ticks(&read("stat")).unwrap_or(0.0) / TICKS_PER_S,
+        }
+    }
+
+    /// What it says, with the processor's share since an earlier moment.
+    pub fn told_since(&self, before: &Usage, over: Duration) -> String {
+        let share = (self.processor_s - before.processor_s) / over.as_secs_f64();
+        format!(
+            "memory {:.1} MB, {} open files, {} threads, {:.2} of a processor",
+            self.memory_mb, self.files, self.threads, share
+        )
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/worksshunt-measure/src/loopback/state.rs
@@ -0,0 +1,134 @@
+//! Stand-in of the state service, over HTTP on the loopback interface.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use http_types::Method;
+use worksshunt_core::controller::{StoreOp, StoreReply};
+use worksshunt_core::users::Reply;
+use worksshunt_net::server::Incoming;
+use worksshunt_simulation::Store;
+use worksshunt_wire::state::{AtRevision, Conflict, Lease, Listing, Txn};
+use worksshunt_wire::Revision;
+
+use super::{malformed, query, Handled};
+
+/// How often a watch looks for changes.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// What the state service keeps.
+pub struct StateService {
+    store: RefCell<Store>,
+    started: Instant,
+}
+
+impl StateService {
+    /// An empty one.
+    pub fn new() -> Rc<StateService> {
+        Rc::new(StateService {
+            store: RefCell::new(Store::default()),
+            started: Instant::now(),
+        })
+    }
+
+    fn apply(&self, op: &StoreOp) -> StoreReply {
+        let now = self.started.elapsed().as_millis() as u64;
+        self.store.borrow_mut().apply(now, op)
+    }
+
+    fn answer(&self, op: &StoreOp) -> Reply {
+        let revision = |this: &StateService| Revision(this.store.borrow().revision());
+        match self.apply(op) {
+            StoreReply::Lease(lease) => Reply::json(200, &Lease { lease }),
+            StoreReply::Renewed => Reply::json(200, &()),
+            StoreReply::Found(pair) => Reply::json(200, &pair),
+            StoreReply::Committed(revision) => Reply::json(200, &AtRevision { revision }),
+            StoreReply::Changes(changes) => Reply::json(200, &changes),
+            StoreReply::Conflict(failed) => Reply::json(409, &Conflict { failed }),
+            StoreReply::Missing => Reply::json(
+                404,
+                &AtRevision {
+                    revision: revision(self),
+                },
+            ),
+            StoreReply::NoSuchLease if matches!(op, StoreOp::Renew(_)) => {
+                Reply::error(404, "no such lease")
+            }
+            StoreReply::NoSuchLease => Reply::error(400, "no such lease"),
+            _ => Reply::later("not executed"),
+        }
+    }
+
+    fn list(&self, prefix: &str, since: Option<&str>, most: usize) -> Reply {
+        let StoreReply::Listing(all) = self.apply(&StoreOp::List(prefix.to_owned())) else {
+            return Reply::later("not executed");
+        };
+        let after = |key: &str| since.is_none_or(|since| key > since);
+        let mut pairs = all.pairs;
+        pairs.retain(|pair| after(&pair.key));
+        let more = pairs.len() > most;
+        pairs.truncate(most);
+        let page = Listing {
+            pairs,
+            more,
+            revision: all.revision,
+        };
+        Reply::json(200, &page)
+    }
+
+    async fn follow(&self, prefix: &str, since: u64, wait: Duration) -> Reply {
+        let ends = Instant::now() + wait;
+        let op = StoreOp::Follow(prefix.to_owned(), Revision(since), 0);
+        loop {
+            match self.apply(&op) {
+                StoreReply::Changes(changes)
+                    if changes.events.is_empty() && Instant::now() < ends => {}
+                StoreReply::Changes(changes) => return Reply::json(200, &changes),
+                _ => return Reply::later("not executed"),
+            }
+            Timer::after(LOOK).await;
+        }
+    }
+
+    /// Answers a request.
+    pub fn handle(self: Rc<Self>, incoming: Incoming) -> Handled {
+        Box::pin(async move {
+            let number = |name| query(&incoming, name).and_then(|text| text.parse().ok());
+            let starts = query(&incoming, "Starts").unwrap_or_default();
+            let path = incoming.path.trim_start_matches('/');
+            match (incoming.method, path) {
+                (Method::Get, "kv") => {
+                    let since = query(&incoming, "Since");
+                    self.list(starts, since, number("Most").unwrap_or(1_000) as usize)
+                }
+                (Method::Get, "follow") => {
+                    let wait = Duration::from_millis(number("WaitMs").unwrap_or(0));
+                    self.follow(starts, number("Since").unwrap_or(0), wait)
+                        .await
+                }
+                (Method::Post, "holds") => self.answer(&StoreOp::NewLease),
+                (Method::Post, "txn") => {
+                    let body = incoming.body.as_deref().unwrap_or_default();
+                    match serde_json::from_slice::<Txn>(body) {
+                        Ok(txn) => self.answer(&StoreOp::Txn(txn)),
+                        Err(_) => malformed(),
+                    }
+                }
+                (Method::Get, path) => match path.strip_prefix("kv/") {
+                    Some(key) => self.answer(&StoreOp::Get(key.to_owned())),
+                    None => malformed(),
+                },
+                (_, path) => {
+                    let lease = path.strip_prefix("holds/");
+                    let lease = lease.and_then(|rest| rest.strip_suffix("/renew"));
+                    match lease.and_then(|lease| lease.parse().ok()) {
+                        Some(lease) => self.answer(&StoreOp::Renew(lease)),
+                        None => malformed(),
+                    }
+                }
+            }
+        })
+    }
+}
--- a/crates/worksshunt-measure/src/main.rs
+++ b/crates/worksshunt-measure/src/main.rs
@@ -8,6 +8,7 @@
 use stats_alloc::{StatsAlloc, INSTRUMENTED_SYSTEM};
 
 mod day;
+mod loopback;
 mod plot;
 mod report;
 mod series;
@@ -44,6 +45,21 @@
         #[arg(long)]
         out: PathBuf,
     },
+    /// Plays three real controllers on the loopback interface, with stand-ins of everything around them.
+    Loopback {
+        /// Workers.
+        #[arg(long, default_value_t = 1_000)]
+        machines: usize,
+        /// Sockets that each controller is told it may have; three for each worker if it is not given.
+        #[arg(long)]
+        sockets: Option<usize>,
+        /// The program.
+        #[arg(long, default_value = "target/release/worksshunt")]
+        binary: PathBuf,
+        /// Where settings and logs go.
+        #[arg(long)]
+        folder: PathBuf,
+    },
     /// Makes a report (HTML) of files of results.
     Report {
         /// Files of results, the version before first.
@@ -105,6 +121,12 @@
                 .map_err(|e| MeasureError::Results(out.clone(), e))?;
             write(&out, &text)
         }
+        Command::Loopback {
+            machines,
+            sockets,
+            binary,
+            folder,
+        } => loopback::run(binary, folder, machines, sockets.unwrap_or(machines * 3)),
         Command::Report { results, out } => {
             let all = results.iter().map(read).collect::<Result<Vec<_>, _>>()?;
             write(&out, &report::html(&all)?)
--- a/crates/worksshunt-net/src/server.rs
+++ b/crates/worksshunt-net/src/server.rs
@@ -23,6 +23,8 @@
     pub method: Method,
     /// Path without query.
     pub path: String,
+    /// Names and values of the query.
+    pub query: Vec<(String, String)>,
     /// Body; none if it is longer than allowed.
     pub body: Option<Vec<u8>>,
 }
@@ -81,6 +83,7 @@
             let reply = handler(Incoming {
                 method: request.method(),
                 path: request.url().path().to_owned(),
+                query: request.url().query_pairs().into_owned().collect(),
                 body: fits.then_some(body),
             })
             .await;
--- a/crates/worksshunt-simulation/src/lib.rs
+++ b/crates/worksshunt-simulation/src/lib.rs
@@ -36,7 +36,7 @@
 use fixtures::catalog;
 pub use fixtures::{job, large_settings, service, settings};
 pub use meter::Meter;
-use state_service::Store;
+pub use state_service::Store;
 pub use troubles::{LateWrites, Troubles};
 use workers::Task;
 pub use workers::Worker;
--- a/crates/worksshunt-simulation/src/state_service.rs
+++ b/crates/worksshunt-simulation/src/state_service.rs
@@ -11,8 +11,9 @@
 
 use super::*;
 
+/// What the state service keeps.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Store {
+pub struct Store {
     pub(super) keys: BTreeMap<String, (Value, Revision, Option<u64>)>,
     pub(super) revision: u64,
     pub(super) log: Vec<(u64, WatchEvent)>,
@@ -112,7 +113,13 @@
         }
     }
 
-    pub(super) fn apply(&mut self, now: u64, op: &StoreOp) -> StoreReply {
+    /// The revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Carries out a request. A watch is answered at once.
+    pub fn apply(&mut self, now: u64, op: &StoreOp) -> StoreReply {
         self.expire(now);
         match op {
             StoreOp::NewLease => {
--- a/crates/worksshunt/src/service.rs
+++ b/crates/worksshunt/src/service.rs
@@ -260,7 +260,9 @@
 
 /// Finds out what a request wants.
 fn route(request: RequestId, incoming: Incoming) -> Result<Event, Reply> {
-    let Incoming { method, path, body } = incoming;
+    let Incoming {
+        method, path, body, ..
+    } = incoming;
     let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     let Some(body) = body else {
         return Err(Reply::error(400, "body over 64 KiB"));
--- a/crates/worksshunt/src/service/tests.rs
+++ b/crates/worksshunt/src/service/tests.rs
@@ -6,6 +6,7 @@
     let incoming = Incoming {
         method,
         path: path.to_owned(),
+        query: Vec::new(),
         body,
     };
     route(RequestId(1), incoming)
