--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -496,6 +496,9 @@
 /// after each answer, so that more clients than there are connections share them.
 pub const SPARE_CONNECTIONS: usize = 8;
 
+/// Milliseconds between two lines of the log that tell how connections compare with their limit.
+pub const CONNECTIONS_TOLD_MS: u64 = 60_000;
+
 /// Bytes that a record of an attempt takes in the state service, rounded up.
 pub const RECORD_BYTES: usize = 80;
 
--- a/crates/worksshunt-net/src/connections.rs
+++ b/crates/worksshunt-net/src/connections.rs
@@ -6,8 +6,9 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
-use worksshunt_core::constants::SPARE_CONNECTIONS;
+use worksshunt_core::constants::{CONNECTIONS_TOLD_MS, SPARE_CONNECTIONS};
 
 /// How open connections compare with their limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,6 +27,8 @@
     most: usize,
     open: Cell<usize>,
     supply: Cell<Supply>,
+    /// When the log was last told of a change.
+    told: Cell<Option<Instant>>,
 }
 
 /// One open connection.
@@ -39,6 +42,7 @@
             most,
             open: Cell::new(0),
             supply: Cell::new(Supply::Ample),
+            told: Cell::new(None),
         })
     }
 
@@ -70,10 +74,21 @@
         }
     }
 
+    /// Whether the log should be told of another change: with fewer connections than clients there is one
+    /// every second.
+    fn may_tell(&self) -> bool {
+        let pause = Duration::from_millis(CONNECTIONS_TOLD_MS);
+        let may = self.told.get().is_none_or(|told| told.elapsed() >= pause);
+        if may {
+            self.told.set(Some(Instant::now()));
+        }
+        may
+    }
+
     /// The one place where the supply changes.
     fn set_supply(&self, next: Supply) {
         let before = self.supply.replace(next);
-        if before == next {
+        if before == next || !self.may_tell() {
             return;
         }
         let (open, most) = (self.open.get(), self.most);
