--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -4,6 +4,7 @@
 mod events;
 mod lanes;
 mod leading;
+mod loading;
 mod outage;
 mod requests;
 mod writes;
@@ -29,9 +30,9 @@
 use crate::time::{Bucket, Budget, Now, Periodic, Time};
 use crate::users::{Progress, Question, Reply, Users};
 
-use epochs::Load;
 pub use events::{Action, CloudReply, Event, Lane, Loading, StoreOp, StoreReply, StoreTag};
 use lanes::{Copies, Lanes};
+use loading::Load;
 
 /// Whether this controller is fit to own machines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
