Pages are paced where the state service's limit is used up; overlong list pages refused

For ten seconds after a refused write pages of records and completions leave every 250 ms at the most. Pages of the machine list and of keys that are longer than asked for are refused with their size in the log; the scenarios assert bytes, changes and calls.

--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -136,6 +136,13 @@
 /// changes causes.
 pub const FOLLOW_PAUSE_MS: u64 = 30;
 
+/// Milliseconds for which the state service's limit counts as used up after it has refused a write.
+pub const REFUSED_LATELY_MS: u64 = 10_000;
+
+/// Milliseconds between two writes of pages of one kind while it does: little beside what launches take anyway,
+/// and a third of the changes that the share of records would allow at the limits seen.
+pub const PAGES_PACE_MS: u64 = 250;
+
 /// Bytes of one transaction, kept below the state service's 64 KiB.
 pub const TXN_BYTES: usize = 48 * 1024;
 
--- a/crates/worksshunt-core/src/controller/lanes.rs
+++ b/crates/worksshunt-core/src/controller/lanes.rs
@@ -107,6 +107,8 @@
     pub ending: Vec<End>,
     /// More ends wait than are written in a while.
     ends_behind: bool,
+    /// When the state service last refused a write, most likely because of its limit.
+    refused_at: Option<Time>,
     write_rps: f64,
     pub txn_ops: usize,
     /// For submissions and cancellations.
@@ -126,6 +128,7 @@
             refresh: Periodic::default(),
             ending: Vec::new(),
             ends_behind: false,
+            refused_at: None,
             write_rps: state.write_rps,
             txn_ops: state.txn_ops,
             user_writes: share(USER_WRITE_SHARE, state.txn_ops),
@@ -151,6 +154,21 @@
         self.line(lane).writes.available(now).min(most)
     }
 
+    /// The state service has refused a write.
+    pub fn refused(&mut self, now: Time) {
+        self.refused_at = Some(now);
+    }
+
+    /// How long a lane waits between two writes. Pages take any number of entries, so where the limit of changes is
+    /// used up they are written less often and fuller: what that saves is for the ends of jobs.
+    pub fn pace_ms(&self, lane: Lane, now: Time) -> u64 {
+        let lately = |at: Time| now.since(at) < REFUSED_LATELY_MS;
+        match lane {
+            Lane::Records | Lane::Pages if self.refused_at.is_some_and(lately) => PAGES_PACE_MS,
+            _ => 0,
+        }
+    }
+
     /// Tells when more ends of jobs wait than their share writes in a while, and when that is over.
     pub fn tell_of_ends(&mut self, waiting: usize) {
         // Each takes two changes.
--- a/crates/worksshunt-core/src/controller/writes.rs
+++ b/crates/worksshunt-core/src/controller/writes.rs
@@ -235,6 +235,9 @@
         sent: Time,
         reply: StoreReply,
     ) {
+        if reply == StoreReply::Refused {
+            self.lanes.refused(now);
+        }
         let outcome = match reply {
             StoreReply::Committed(revision) => {
                 self.membership.confirmed(sent);
@@ -257,6 +260,7 @@
             }
             _ => Outcome::Unclear,
         };
+        let pace_ms = self.lanes.pace_ms(lane, now);
         let line = self.lanes.line(lane);
         let clearly = !matches!(outcome, Outcome::Unclear);
         if !line.copies.settled(number, clearly) {
@@ -267,7 +271,7 @@
             Outcome::Unclear => STORE_RETRY_MS,
             _ => {
                 given = line.under_way.take().map_or(Vec::new(), |txn| opened(&txn));
-                0
+                pace_ms
             }
         };
         line.turn.retry(now, wait_ms);
--- a/crates/worksshunt-core/tests/scale/restart.rs
+++ b/crates/worksshunt-core/tests/scale/restart.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use worksshunt_core::constants::FRAME_BYTES;
 use worksshunt_simulation::Cluster;
 use worksshunt_wire::{JobId, TaskId};
 
@@ -27,6 +28,11 @@
         .iter()
         .filter(|(_, task, _)| running.contains(task));
     assert_eq!(again.count(), 0, "nothing that ran was started again");
+    let (most, dropped) = (cluster.meter.sync_most, cluster.meter.frames_dropped);
+    assert!(
+        dropped == 0 && most < FRAME_BYTES / 8,
+        "an exchange of {most} bytes"
+    );
     assert!(users.served > users.refused, "questions are answered");
     finish(&mut cluster, 1..=JOBS_AT_ONCE + 8, 180_000);
 }
--- a/crates/worksshunt-core/tests/scale/start.rs
+++ b/crates/worksshunt-core/tests/scale/start.rs
@@ -20,6 +20,26 @@
     let tasks = 64 * JOB_TASKS as usize;
     assert_eq!(cluster.starts.len(), tasks, "each task started once");
     assert_eq!(cluster.meter.launches, tasks as u64);
+    let meter = &cluster.meter;
+    assert!(
+        meter.changes <= tasks as u64 / 20,
+        "{} changes",
+        meter.changes
+    );
+    assert!(
+        meter.sync_bytes <= tasks as u64 * 200,
+        "{} bytes",
+        meter.sync_bytes
+    );
+    assert!(
+        meter.cloud_calls <= 400,
+        "{} calls of the cloud",
+        meter.cloud_calls
+    );
+    assert_eq!(
+        meter.refused, 0,
+        "within the rates of state service and cloud"
+    );
     // Kept for half a boot time, then 40 requests of 100 at most.
     cluster.until("an empty fleet", 30_000, |w| w.workers.is_empty());
     assert_eq!(users.refused, 0);
--- a/crates/worksshunt-net/src/cloud.rs
+++ b/crates/worksshunt-net/src/cloud.rs
@@ -95,6 +95,15 @@
         let Some(page) = get::<MachineList>(client, &path, deadline).await? else {
             return Ok(CloudReply::Failed);
         };
+        if page.machines.len() > CLOUD_PAGE {
+            let machines = page.machines.len();
+            tracing::warn!(
+                machines,
+                most = CLOUD_PAGE,
+                "page of the machine list too long: refused"
+            );
+            return Ok(CloudReply::Failed);
+        }
         let more = page.more && !page.machines.is_empty();
         pages.push(page);
         if !more {
@@ -102,3 +111,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/worksshunt-net/src/state.rs
+++ b/crates/worksshunt-net/src/state.rs
@@ -112,6 +112,11 @@
         let Ok(page) = serde_json::from_slice::<Listing>(&body) else {
             return Ok(StoreReply::Unknown);
         };
+        if page.pairs.len() > STATE_PAGE {
+            let keys = page.pairs.len();
+            tracing::warn!(keys, most = STATE_PAGE, "page of keys too long: refused");
+            return Ok(StoreReply::Unknown);
+        }
         let revision = *first.get_or_insert(page.revision);
         let more = page.more && !page.pairs.is_empty();
         pairs.extend(page.pairs);
