--- a/crates/worksshunt-core/src/controller/lanes.rs
+++ b/crates/worksshunt-core/src/controller/lanes.rs
@@ -14,8 +14,11 @@
 /// One write among the ends.
 #[derive(Debug, Clone)]
 pub(super) enum End {
+    /// A job is done.
     Finish(JobId),
+    /// A claim on a machine, held or released.
     Claim(MachineId, bool),
+    /// A key of a former epoch goes.
     Remove(String),
 }
 
@@ -70,9 +73,13 @@
 /// One write at a time, within a share of the state service's limit.
 #[derive(Debug)]
 pub(super) struct Line {
+    /// When the next write may leave.
     pub turn: Periodic,
+    /// Copies of the write under way.
     pub copies: Copies,
+    /// The write under way, repeated unchanged until its outcome is clear.
     pub under_way: Option<Txn>,
+    /// Changes that the share allows.
     pub writes: Bucket,
 }
 
@@ -97,25 +104,30 @@
 pub(super) struct Lanes {
     records: Line,
     pages: Line,
-    pub ends: Line,
+    ends: Line,
+    /// Keys for jobs taken in together.
     pub intake: Line,
     /// The page of jobs that was last dealt with, until the mirror shows what has become of it.
     pub intake_done: Option<(String, Revision)>,
     /// Jobs on pages that have a key of their own by now, or are over.
     pub settled: BTreeSet<JobId>,
+    /// Reading the version of an uncertain page.
     pub refresh: Periodic,
+    /// What the write of ends under way brings.
     pub ending: Vec<End>,
     /// More ends wait than are written in a while.
     ends_behind: bool,
     /// When the state service last refused a write, most likely because of its limit.
     refused_at: Option<Time>,
     write_rps: f64,
+    /// Changes in a transaction.
     pub txn_ops: usize,
     /// For submissions and cancellations.
     pub user_writes: Bucket,
 }
 
 impl Lanes {
+    /// Nothing is under way.
     pub fn new(state: &StateLimits) -> Lanes {
         let share = |share: f64, burst: usize| Bucket::new(state.write_rps * share, burst as f64);
         Lanes {
@@ -209,6 +221,7 @@
         self.intake.writes.take(changes - own);
     }
 
+    /// The line of a lane.
     pub fn line(&mut self, lane: Lane) -> &mut Line {
         match lane {
             Lane::Records => &mut self.records,
