--- a/crates/worksshunt-net/src/cloud/tests.rs
+++ b/crates/worksshunt-net/src/cloud/tests.rs
@@ -1,14 +1,11 @@
-//! Tests of `cloud`: pages of the machine list, against a server on the loopback interface.
+//! Tests of `cloud`: pages of the machine list.
 
-use std::rc::Rc;
-
-use async_io::Async;
 use worksshunt_core::users::Reply;
 use worksshunt_wire::cloud::{ListedMachine, ListedState};
 use worksshunt_wire::MachineId;
 
 use super::*;
-use crate::{server, Executor};
+use crate::test_server::{with_answer, DEADLINE};
 
 fn page(machines: usize) -> MachineList {
     let listed = |n: usize| ListedMachine {
@@ -27,25 +24,10 @@
 
 /// What comes of a list whose only page has so many machines.
 fn listed(machines: usize) -> CloudReply {
-    let executor = Rc::new(Executor::new());
-    let listener = Async::<std::net::TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
-    let address = listener.get_ref().local_addr().expect("an address");
-    let page = Rc::new(page(machines));
-    let handler: server::Handler = Rc::new(move |_| {
-        let page = Rc::clone(&page);
-        Box::pin(async move { Reply::json(200, &*page) })
-    });
-    let serving = server::serve(
-        Rc::clone(&executor),
-        listener,
-        4,
-        Duration::from_secs(5),
-        handler,
-    );
-    executor.spawn(serving).detach();
-    let client = HttpClient::new(address, 1);
-    let listing = call(&client, &CloudRequest::List, Duration::from_secs(2));
-    async_io::block_on(executor.run(listing))
+    let reply = Reply::json(200, &page(machines));
+    with_answer(reply, |client| async move {
+        call(&client, &CloudRequest::List, DEADLINE).await
+    })
 }
 
 #[test]
--- a/crates/worksshunt-net/src/lib.rs
+++ b/crates/worksshunt-net/src/lib.rs
@@ -19,6 +19,8 @@
 pub mod peer;
 pub mod server;
 pub mod state;
+#[cfg(test)]
+mod test_server;
 pub mod worker;
 
 /// The executor everything runs on: one thread, because a controller has a fraction of a core.
--- a/crates/worksshunt-net/src/state.rs
+++ b/crates/worksshunt-net/src/state.rs
@@ -166,3 +166,6 @@
         _ => other(status),
     })
 }
+
+#[cfg(test)]
+mod tests;
