--- a/crates/worksshunt-core/src/scheduler/handout.rs
+++ b/crates/worksshunt-core/src/scheduler/handout.rs
@@ -205,13 +205,13 @@
     }
 
     fn hand_out_to(&mut self, now: Now, job: &Job, place: Place) {
+        if self.numbers_used_up() {
+            return;
+        }
         let id = job.spec.id;
         let Some(work) = self.jobs.get_mut(&id) else {
             return;
         };
-        if self.attempts >= self.attempts_most {
-            return;
-        }
         let Some(index) = work.next_waiting() else {
             return;
         };
--- a/crates/worksshunt-measure/src/day.rs
+++ b/crates/worksshunt-measure/src/day.rs
@@ -172,6 +172,7 @@
 pub fn play(machines: usize) -> Day {
     let mut day = Day::new(machines);
     let mut cluster = Cluster::large(machines);
+    cluster.run_ms = RUN_MS;
     let mut jobs = Submissions::new(machines);
     cluster.run(2_000);
     let full = |w: &Cluster| w.running().len() >= machines * TASKS_EACH * 9 / 10;
