Log: by which report a lease was last counted, and why an attempt counts as gone

'machine lost with its tasks' now names the report and how long ago it came; reports older than what is known are logged with both numbers; at debug, attempts that end with a session or because a report does not list them are named with the report.

--- a/crates/worksshunt-core/src/machines/machine.rs
+++ b/crates/worksshunt-core/src/machines/machine.rs
@@ -163,6 +163,8 @@
     pub heard: Time,
     /// Latest moment at which the worker's lease can have been renewed.
     pub renewed: Time,
+    /// The report by which it was; none if it is reckoned without one.
+    pub renewed_by: Option<(Session, u64)>,
     pub lost: bool,
     pub reach: Reach,
     /// Answers given since its reports last showed this epoch's token.
@@ -196,6 +198,7 @@
             newest: (Session(0), 0),
             heard: Time::default(),
             renewed,
+            renewed_by: None,
             lost: false,
             reach: Reach::Unproven { since: now },
             unheeded: 0,
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -287,7 +287,12 @@
             .map(|(attempt, _)| *attempt)
             .collect();
         if !attempts.is_empty() {
-            tracing::info!(machine = %id, tasks = attempts.len(), "machine lost with its tasks");
+            let newest = machine.newest;
+            tracing::info!(
+                machine = %id, tasks = attempts.len(), renewed_ago_ms = now.since(machine.renewed),
+                renewed_by = ?machine.renewed_by, heard_ago_ms = now.since(machine.heard), ?newest,
+                "machine lost with its tasks"
+            );
         }
         for attempt in attempts {
             self.end(id, attempt, End::Lost, now);
--- a/crates/worksshunt-core/src/machines/reports.rs
+++ b/crates/worksshunt-core/src/machines/reports.rs
@@ -67,6 +67,12 @@
             None => self.sightings.newest(id),
         };
         if order <= newest {
+            let heard_ago_ms = self.machines.get(id).map(|m| now.since(m.heard));
+            tracing::info!(
+                machine = %id, session = report.session.0, number = report.seq,
+                newest_session = newest.0 .0, newest_number = newest.1, heard_ago_ms,
+                "report older than what is known"
+            );
             return Vec::new();
         }
         if !self.machines.contains_key(id) {
@@ -81,6 +87,7 @@
         }
         if let Some(machine) = self.machines.get_mut(id) {
             machine.renewed = machine.renewed.max(now);
+            machine.renewed_by = Some(order);
         }
         self.take_in(now, report, epoch, catalog, false);
         self.commands(report, now)
@@ -168,6 +175,9 @@
             })
             .map(|(attempt, _)| *attempt)
             .collect();
+        if !gone.is_empty() {
+            tracing::debug!(machine = %id, ?session, ?gone, "attempts ended with their session");
+        }
         for attempt in gone {
             self.end(id, attempt, End::Lost, now);
         }
@@ -263,7 +273,11 @@
                 End::Settled => {
                     self.untrack(id, attempt, how, now);
                 }
-                how => self.end(id, attempt, how, now),
+                how => {
+                    let (session, number, token) = (report.session, report.seq, report.token);
+                    tracing::debug!(machine = %id, %attempt, ?session, number, %token, direct, "not listed: gone");
+                    self.end(id, attempt, how, now);
+                }
             }
         }
     }
