--- /dev/null
+++ b/crates/worksshunt-core/tests/scenarios/leases.rs
@@ -0,0 +1,90 @@
+//! What a controller answers to a worker, and what it has on its books about the worker's lease.
+
+use std::collections::BTreeSet;
+
+use worksshunt_simulation::Cluster;
+use worksshunt_wire::{JobId, MachineId};
+
+use crate::{long_job, ready_with_boots_of};
+
+/// How long a report is under way, ms: less than workers wait for an answer.
+const REPORT_UNDER_WAY_MS: u64 = 1_500;
+
+/// A machine that is about to be cut off, with the jobs that have tasks there.
+struct Doomed {
+    machine: MachineId,
+    jobs: BTreeSet<JobId>,
+}
+
+/// A cluster of two machines with five tasks that go on for minutes, each of a job of its own, and the machine
+/// that has the most of them.
+fn two_machines() -> (Cluster, Doomed) {
+    let mut cluster = ready_with_boots_of(200.0);
+    cluster.capacity = 2;
+    cluster.run_ms = 120_000;
+    for id in 1..=5 {
+        cluster.submit(0, &long_job(id, 1));
+    }
+    cluster.until("five tasks", 60_000, |c| c.running().len() == 5);
+    cluster.run(3_000);
+    let machines = cluster.workers.keys().cloned();
+    let with_jobs = machines.map(|machine| Doomed {
+        jobs: cluster.jobs_on(&machine),
+        machine,
+    });
+    let doomed = with_jobs.max_by_key(|doomed| doomed.jobs.len());
+    (cluster, doomed.expect("machines"))
+}
+
+/// While a report of the machine is under way, an order to it is carried out and answered. The answer is the
+/// newer message and arrives first. The order stops the task of one of the jobs, whose user calls it off.
+fn order_overtakes_report(cluster: &mut Cluster, doomed: &mut Doomed) {
+    let machine = doomed.machine.clone();
+    let slow = (machine.clone(), REPORT_UNDER_WAY_MS);
+    cluster.until("a pause between reports", 5_000, |c| {
+        !c.reports_now(&machine)
+    });
+    cluster.trouble.slow_reports_ms.extend([slow]);
+    cluster.until("a report under way", 5_000, |c| c.reports_now(&machine));
+    let orders = cluster.orders_to(&machine);
+    let called_off = doomed.jobs.pop_first().expect("a job");
+    cluster.send_withdraw(0, called_off);
+    cluster.until("an order", 1_000, |c| c.orders_to(&machine) > orders);
+    cluster.until("an answer", 4_000, |c| !c.reports_now(&machine));
+    cluster.trouble.slow_reports_ms.clear();
+}
+
+/// Nothing passes between the machine and controllers any more, and no rule is broken until its tasks run
+/// elsewhere.
+fn cut_off(cluster: &mut Cluster, doomed: &Doomed) {
+    cluster.trouble.mute.insert(doomed.machine.clone());
+    cluster.trouble.deaf.insert(doomed.machine.clone());
+    let started = cluster.starts.len();
+    cluster.run(30_000);
+    assert!(
+        cluster.rules.broken.is_empty(),
+        "{:?}",
+        cluster.rules.broken
+    );
+    let again = &cluster.starts[started..];
+    let again: BTreeSet<JobId> = again.iter().map(|(_, task, _)| task.job).collect();
+    assert_eq!(again, doomed.jobs, "what was there goes on elsewhere");
+}
+
+// The incident of issue 29: the answer to a direct order overtook a report. The report was answered and so renewed
+// the worker's lease, while the owner's account of that lease stayed where it was.
+#[test]
+fn a_report_overtaken_by_the_answer_to_an_order_renews_the_lease_on_both_sides() {
+    let (mut cluster, mut doomed) = two_machines();
+    order_overtakes_report(&mut cluster, &mut doomed);
+    cut_off(&mut cluster, &doomed);
+}
+
+// The same twice in a row: each time the account fell back by another interval of reports.
+#[test]
+fn reports_overtaken_one_after_the_other_renew_the_lease_on_both_sides() {
+    let (mut cluster, mut doomed) = two_machines();
+    order_overtakes_report(&mut cluster, &mut doomed);
+    order_overtakes_report(&mut cluster, &mut doomed);
+    cut_off(&mut cluster, &doomed);
+}
--- a/crates/worksshunt-core/tests/scenarios/main.rs
+++ b/crates/worksshunt-core/tests/scenarios/main.rs
@@ -1,6 +1,7 @@
 //! Short scenarios about whole deployments on virtual time.
 
 mod combined_faults;
+mod leases;
 mod mixed;
 mod order;
 mod ordinary;
--- a/crates/worksshunt-simulation/src/inspection.rs
+++ b/crates/worksshunt-simulation/src/inspection.rs
@@ -109,6 +109,13 @@
         self.workers.get(id).map_or(0, |worker| worker.session)
     }
 
+    /// Whether a machine's worker waits for the answer to a report.
+    pub fn reports_now(&self, id: &MachineId) -> bool {
+        self.workers
+            .get(id)
+            .is_some_and(|worker| worker.reporting.is_some())
+    }
+
     /// Jobs with tasks on a machine.
     pub fn jobs_on(&self, id: &MachineId) -> BTreeSet<JobId> {
         let here = self.on_machines().filter(|(machine, _)| *machine == id);
--- a/crates/worksshunt-simulation/src/state_service.rs
+++ b/crates/worksshunt-simulation/src/state_service.rs
@@ -251,7 +251,7 @@
             }
         };
         // What is answered after its sender has given up on it is as good as not answered.
-        let when = self.now + self.hop_ms + self.trouble.state_slow_ms;
+        let when = self.arrival(Link::Other) + self.trouble.state_slow_ms;
         let reply = if when > until {
             StoreReply::Unknown
         } else {
@@ -305,7 +305,7 @@
                 }
             };
             let event = Box::new(Event::Store(watch.tag, watch.sent, reply));
-            let when = self.now + self.hop_ms + self.trouble.state_slow_ms;
+            let when = self.arrival(Link::Other) + self.trouble.state_slow_ms;
             self.at(when, Happening::Dispatch(node, watch.life, event));
         }
     }
--- a/crates/worksshunt-simulation/src/troubles.rs
+++ b/crates/worksshunt-simulation/src/troubles.rs
@@ -1,9 +1,11 @@
 //! How the cluster departs from a quiet day.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use worksshunt_wire::{JobId, MachineId};
 
+use crate::links::SlowLinks;
+
 /// Transactions that get no answer and are carried out late, or at once.
 #[derive(Debug, Clone, Copy)]
 pub struct LateWrites {
@@ -26,6 +28,13 @@
     pub hold_txns: BTreeSet<usize>,
     /// Every second transaction takes so long to be carried out.
     pub slow_txns_ms: u64,
+    /// Messages between controllers and machines that take much longer than others.
+    pub slow_links: Option<SlowLinks>,
+    /// Machines whose reports take so much longer to arrive, ms; everything else from and to them does not.
+    pub slow_reports_ms: BTreeMap<MachineId, u64>,
+    /// Controllers whose messages from and to machines are held back, and until when. They arrive then, in any
+    /// order, whether or not their senders have given up on them.
+    pub held_until: BTreeMap<usize, u64>,
     /// Direct orders are kept back until released, and time out.
     pub hold_orders: bool,
     /// Jobs whose tasks fail on every machine.
@@ -81,6 +90,9 @@
             &self.watchless,
         ];
         sets.iter().all(|set| set.is_empty())
+            && self.slow_links.is_none()
+            && self.slow_reports_ms.is_empty()
+            && self.held_until.is_empty()
             && !self.state_down
             && !self.hold_orders
             && !self.cloud_down
