A report is answered with 200 only after its lease was counted

A report that the answer to a direct order had overtaken was not newer than the newest message known, so the owner took it for a copy, left its account of the lease where it was, and answered 200 all the same. With the worker silent from then on, its tasks were counted as gone while they ran on: up to one report's interval and its time under way early, and another for each such report in a row. Class: an answer that somebody relies on, given on a path that does not keep the books for it.

Change: the account of a lease has a module of its own (machines/lease.rs), which tells the newest report, one that was overtaken and can still be in flight, and a stale one (counted before, or given up by its worker after 4 s). The first two are counted before they are answered; the third is never answered with 200. Part::report returns which it was, so that no path can answer without counting. Reports of machines that the cloud confirmed as gone got 200 too, and no longer do.

--- a/crates/worksshunt-core/src/constants.rs
+++ b/crates/worksshunt-core/src/constants.rs
@@ -218,6 +218,9 @@
 /// up only at its deadline. The rest goes with the answers to reports, and users are refused at once.
 pub const LEAST_EXCHANGES: usize = 512;
 
+/// Milliseconds after which a worker gives up on a report that was not answered, and drops a later answer (protocol).
+pub const REPORT_DEADLINE_MS: u64 = 4_000;
+
 /// Milliseconds after which direct orders to a worker count as unanswered. Its next report, in at
 /// most a few seconds, serves as well.
 pub const ORDERS_DEADLINE_MS: u64 = 2_000;
--- a/crates/worksshunt-core/src/controller/requests.rs
+++ b/crates/worksshunt-core/src/controller/requests.rs
@@ -10,6 +10,7 @@
 use crate::jobs::{
     check_possible, final_key, intake_key, is_intake, open_key, parse, Job, Refusal, OPEN,
 };
+use crate::machines::ReportReply;
 use crate::placement::owner;
 use crate::time::{Now, Time};
 use crate::users::{accepted, resolve, settled, Ask, Question, Reply, RequestId, Step, Submission};
@@ -340,8 +341,12 @@
             ),
             (Some(_), Some(catalog)) if self.membership.has_authority(now) => {
                 let token = self.membership.token();
-                let commands = self.part.report(now, &report, token, catalog);
-                Reply::json(200, &ReportAnswer { token, commands })
+                match self.part.report(now, &report, token, catalog) {
+                    ReportReply::Counted(commands) => {
+                        Reply::json(200, &ReportAnswer { token, commands })
+                    }
+                    ReportReply::Stale => Reply::later("a newer message has come"),
+                }
             }
             _ => Reply::later("not entitled to act now"),
         }
--- a/crates/worksshunt-core/src/machines/loading.rs
+++ b/crates/worksshunt-core/src/machines/loading.rs
@@ -31,7 +31,7 @@
     ) {
         let mut before = std::mem::take(&mut self.machines);
         for (id, machine) in &before {
-            self.sightings.note(id, machine.newest, now);
+            self.sightings.note(id, machine.lease.newest, now);
         }
         before.retain(|id, _| is_mine(id) && was_mine(id));
         self.clear(now);
@@ -79,8 +79,7 @@
         record: &[&Recorded],
         mirror: &Mirror,
     ) -> Machine {
-        let mut machine = Machine::new(now, renewed);
-        machine.newest = self.sightings.newest(id);
+        let mut machine = Machine::new(now, renewed, self.sightings.newest(id));
         for record in record {
             let job = mirror.get(record.task.job).map(|open| Rc::clone(&open.job));
             // What a later version's job is about is not known, so it is let be.
@@ -144,7 +143,7 @@
     /// Drops everything: this controller is out.
     pub fn clear(&mut self, now: Time) {
         for (id, machine) in std::mem::take(&mut self.machines) {
-            self.sightings.note(&id, machine.newest, now);
+            self.sightings.note(&id, machine.lease.newest, now);
         }
         self.homes.clear();
         self.by_job.clear();
--- a/crates/worksshunt-core/src/machines/machine.rs
+++ b/crates/worksshunt-core/src/machines/machine.rs
@@ -11,6 +11,8 @@
 use crate::placement::Room;
 use crate::time::Time;
 
+use super::lease::{LeaseAccount, MessageNumber};
+
 /// Where an attempt on a machine stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum AttemptState {
@@ -158,13 +160,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Machine {
     pub info: Option<Info>,
-    /// Newest report seen.
-    pub newest: (Session, u64),
-    pub heard: Time,
-    /// Latest moment at which the worker's lease can have been renewed.
-    pub renewed: Time,
-    /// The report by which it was; none if it is reckoned without one.
-    pub renewed_by: Option<(Session, u64)>,
+    pub lease: LeaseAccount,
     pub lost: bool,
     pub reach: Reach,
     /// Answers given since its reports last showed this epoch's token.
@@ -192,13 +188,12 @@
 }
 
 impl Machine {
-    pub fn new(now: Time, renewed: Time) -> Machine {
+    /// A machine whose worker's lease can have been renewed until then, and of whose messages none newer than
+    /// that was seen.
+    pub fn new(now: Time, renewed: Time, newest: MessageNumber) -> Machine {
         Machine {
             info: None,
-            newest: (Session(0), 0),
-            heard: Time::default(),
-            renewed,
-            renewed_by: None,
+            lease: LeaseAccount::new(renewed, newest),
             lost: false,
             reach: Reach::Unproven { since: now },
             unheeded: 0,
@@ -276,7 +271,7 @@
             && self.reach == Reach::Proven
             && self.failing.len() < FAULTY_JOBS
             && self.notice.is_none()
-            && now.since(self.heard) <= patience.silent_ms
+            && now.since(self.lease.heard) <= patience.silent_ms
     }
 
     pub fn summarize(&self, now: Time, patience: Patience) -> Summary {
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -9,6 +9,7 @@
 //! recorded, sent orders or told to the leader.
 
 mod exchange;
+mod lease;
 mod loading;
 mod machine;
 mod orders;
@@ -36,6 +37,7 @@
 use exchange::Outgoing;
 use machine::{AttemptState, Machine, Patience, TrackedAttempt};
 pub use orders::{DirectOrders, OrdersReply};
+pub use reports::ReportReply;
 use reports::Sightings;
 
 #[derive(Debug, Clone)]
@@ -269,7 +271,7 @@
         self.speeds.remove(id);
         let last = (Session(u64::MAX), u64::MAX);
         match self.machines.get_mut(id) {
-            Some(machine) => machine.newest = last,
+            Some(machine) => machine.lease.close(last),
             None => self.sightings.note(id, last, now),
         }
     }
@@ -287,11 +289,11 @@
             .map(|(attempt, _)| *attempt)
             .collect();
         if !attempts.is_empty() {
-            let newest = machine.newest;
+            let lease = &machine.lease;
             tracing::info!(
-                machine = %id, tasks = attempts.len(), renewed_ago_ms = now.since(machine.renewed),
-                renewed_by = ?machine.renewed_by, heard_ago_ms = now.since(machine.heard), ?newest,
-                "machine lost with its tasks"
+                machine = %id, tasks = attempts.len(), renewed_ago_ms = now.since(lease.renewed),
+                renewed_by = ?lease.renewed_by, heard_ago_ms = now.since(lease.heard),
+                newest = ?lease.newest, "machine lost with its tasks"
             );
         }
         for attempt in attempts {
@@ -307,7 +309,7 @@
             if machine.info.is_none() || machine.lost {
                 continue;
             }
-            if now.since(machine.heard) <= self.unreached_ms {
+            if now.since(machine.lease.heard) <= self.unreached_ms {
                 return false;
             }
             known += 1;
@@ -324,7 +326,7 @@
         let mut noticed = Vec::new();
         let (lease_ms, patience) = (self.lease_ms, self.patience);
         for (id, machine) in self.sweep() {
-            if !machine.lost && now > machine.renewed + lease_ms {
+            if !machine.lost && machine.lease.is_over(lease_ms, now) {
                 expired.push(id.clone());
             } else if machine.lost {
                 if machine.attempts.values().all(TrackedAttempt::settled) {
@@ -386,7 +388,7 @@
             self.untrack(id, attempt, End::Settled, now);
         }
         if let Some(machine) = self.machines.remove(id) {
-            self.sightings.note(id, machine.newest, now);
+            self.sightings.note(id, machine.lease.newest, now);
         }
         self.to_order.remove(id);
         self.outgoing.machines.remove(id);
--- a/crates/worksshunt-core/src/machines/orders.rs
+++ b/crates/worksshunt-core/src/machines/orders.rs
@@ -49,7 +49,7 @@
                 continue;
             };
             let Some(info) = &machine.info else { continue };
-            if machine.lost || now.since(machine.heard) > self.patience.silent_ms {
+            if machine.lost || now.since(machine.lease.heard) > self.patience.silent_ms {
                 // The next report of it puts it back here.
                 continue;
             }
@@ -61,7 +61,7 @@
                 self.order_later.insert((machine.order_from, id));
                 continue;
             }
-            let session = machine.newest.0;
+            let session = machine.lease.newest.0;
             let probe = matches!(machine.reach, Reach::Doubtful { .. });
             let notice = machine.notice.is_some();
             let commands: Vec<Command> = machine
@@ -107,7 +107,7 @@
         // Whatever was answered, or never left, cannot take effect later.
         let after = match reply {
             OrdersReply::Answered(report) => {
-                if report.session >= machine.newest.0 {
+                if report.session >= machine.lease.newest.0 {
                     machine.reach(Reach::Proven);
                 }
                 machine.order_from = now;
--- a/crates/worksshunt-core/src/machines/placing.rs
+++ b/crates/worksshunt-core/src/machines/placing.rs
@@ -65,7 +65,7 @@
         let session = self
             .machines
             .get(&choice.machine)
-            .map_or(Session(0), |machine| machine.newest.0);
+            .map_or(Session(0), |machine| machine.lease.newest.0);
         let mut tracked =
             TrackedAttempt::new(give.task, Some(job), AttemptState::Recording, session, now);
         tracked.over_capacity = band;
--- a/crates/worksshunt-core/src/machines/reports.rs
+++ b/crates/worksshunt-core/src/machines/reports.rs
@@ -11,6 +11,7 @@
 use crate::placement::{Outcome, Room, Speed};
 use crate::time::Time;
 
+use super::lease::{Arrival, MessageNumber};
 use super::machine::{AttemptState, Info, Machine, Reach};
 use super::Part;
 
@@ -18,13 +19,13 @@
 /// known for one whenever it comes.
 #[derive(Debug, Default)]
 pub(super) struct Sightings {
-    newest: BTreeMap<MachineId, (Session, u64)>,
+    newest: BTreeMap<MachineId, MessageNumber>,
     /// When each was first noted, the earliest first.
     order: VecDeque<(Time, MachineId)>,
 }
 
 impl Sightings {
-    pub fn note(&mut self, id: &MachineId, newest: (Session, u64), now: Time) {
+    pub fn note(&mut self, id: &MachineId, newest: MessageNumber, now: Time) {
         match self.newest.get_mut(id) {
             Some(before) => *before = newest.max(*before),
             None => {
@@ -45,52 +46,70 @@
         }
     }
 
-    pub fn newest(&self, id: &MachineId) -> (Session, u64) {
+    pub fn newest(&self, id: &MachineId) -> MessageNumber {
         self.newest.get(id).copied().unwrap_or((Session(0), 0))
     }
 }
 
+/// What becomes of a report.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ReportReply {
+    /// The lease counts as renewed, so the report may be answered, with these commands.
+    Counted(Vec<Command>),
+    /// It was not counted, so an answer must not renew the lease.
+    Stale,
+}
+
 impl Part {
-    /// Takes in a worker's report and returns the commands for its answer. An old report, or a copy
-    /// of one, changes nothing and gets none.
+    /// Takes in a worker's report. What an overtaken one says is older than what is known and changes nothing; a copy
+    /// of one answered before changes nothing at all.
     pub fn report(
         &mut self,
         now: Time,
         report: &Report,
         epoch: Epoch,
         catalog: &Catalog,
-    ) -> Vec<Command> {
+    ) -> ReportReply {
         let id = &report.machine;
-        let order = (report.session, report.seq);
-        let newest = match self.machines.get(id) {
-            Some(machine) => machine.newest,
-            None => self.sightings.newest(id),
+        let number = (report.session, report.seq);
+        let arrival = match self.machines.get(id) {
+            Some(machine) => machine.lease.arrival(number, now),
+            None if number > self.sightings.newest(id) => {
+                self.meet(id, now);
+                Arrival::Newest
+            }
+            None => Arrival::Stale,
         };
-        if order <= newest {
-            let heard_ago_ms = self.machines.get(id).map(|m| now.since(m.heard));
-            tracing::info!(
-                machine = %id, session = report.session.0, number = report.seq,
-                newest_session = newest.0 .0, newest_number = newest.1, heard_ago_ms,
-                "report older than what is known"
-            );
-            return Vec::new();
-        }
-        if !self.machines.contains_key(id) {
-            let mut machine = Machine::new(now, now);
-            machine.newest = newest;
-            if newest != (Session(0), 0) {
-                // It was here before and was given up: what comes now may be a last late word.
-                machine.reach(Reach::Doubtful { since: now });
+        let Some(machine) = self.machines.get_mut(id) else {
+            return ReportReply::Stale;
+        };
+        let newest = machine.lease.newest;
+        match arrival {
+            Arrival::Stale => {
+                tracing::debug!(machine = %id, ?number, ?newest, "stale report: not answered");
+                return ReportReply::Stale;
             }
-            self.machines.insert(id.clone(), machine);
-            self.outgoing.forgotten.remove(id);
-        }
-        if let Some(machine) = self.machines.get_mut(id) {
-            machine.renewed = machine.renewed.max(now);
-            machine.renewed_by = Some(order);
+            Arrival::Overtaken => {
+                tracing::info!(machine = %id, ?number, ?newest, "overtaken report: its lease counts");
+                machine.lease.count(number, now);
+                return ReportReply::Counted(Vec::new());
+            }
+            Arrival::Newest => machine.lease.count(number, now),
         }
         self.take_in(now, report, epoch, catalog, false);
-        self.commands(report, now)
+        ReportReply::Counted(self.commands(report, now))
+    }
+
+    /// A machine that is not in the part reports to it.
+    fn meet(&mut self, id: &MachineId, now: Time) {
+        let newest = self.sightings.newest(id);
+        let mut machine = Machine::new(now, now, newest);
+        if newest != (Session(0), 0) {
+            // It was here before and was given up: what comes now may be a last late word.
+            machine.reach(Reach::Doubtful { since: now });
+        }
+        self.machines.insert(id.clone(), machine);
+        self.outgoing.forgotten.remove(id);
     }
 
     /// Takes in what a worker says, with a report or (`direct`) in answer to direct orders, which
@@ -109,29 +128,25 @@
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
-        let order = (report.session, report.seq);
-        if order <= machine.newest {
+        let number = (report.session, report.seq);
+        let before = machine.lease.newest;
+        if number <= before {
             return;
         }
         let current = report.token >= epoch;
         if !direct {
             // A worker whose session is over was not reached by our answers; one that was given up
             // or silent for long may speak through a late copy only.
-            let over = machine.newest.0 > Session(0) && report.session > machine.newest.0;
-            let silent = machine.info.is_some() && now.since(machine.heard) > silent_ms;
+            let over = before.0 > Session(0) && report.session > before.0;
+            let silent = machine.info.is_some() && now.since(machine.lease.heard) > silent_ms;
             if over || silent || machine.lost {
                 machine.reach(Reach::Doubtful { since: now });
             }
             machine.token_shown(current, now);
             machine.unheeded += 1;
         }
-        if report.session > machine.newest.0 {
-            // A session has its lease from its beginning on, whoever was told of it and how.
-            machine.renewed = machine.renewed.max(now);
-        }
         machine.kept.retain(|_, session| *session >= report.session);
-        machine.newest = order;
-        machine.heard = now;
+        machine.lease.hear(number, now);
         machine.lost = false;
         if machine.info.is_none() {
             machine.info = catalog.get(&report.machine_type).map(|t| Info {
--- a/crates/worksshunt-core/src/machines/tests.rs
+++ b/crates/worksshunt-core/src/machines/tests.rs
@@ -11,7 +11,7 @@
     let state = serde_json::from_value(state).expect("limits");
     let mut part = Part::new(Parameters::default(), &workers, &state);
     for n in 0..machines {
-        let machine = Machine::new(Time(0), Time(0));
+        let machine = Machine::new(Time(0), Time(0), (Session(0), 0));
         part.machines
             .insert(MachineId(format!("i-{n:06}")), machine);
     }
--- a/crates/worksshunt-core/tests/scenarios/leases.rs
+++ b/crates/worksshunt-core/tests/scenarios/leases.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use serde_json::json;
 use worksshunt_simulation::Cluster;
 use worksshunt_wire::{JobId, MachineId};
 
@@ -27,13 +28,19 @@
     }
     cluster.until("five tasks", 60_000, |c| c.running().len() == 5);
     cluster.run(3_000);
+    let doomed = most_jobs(&cluster);
+    (cluster, doomed)
+}
+
+/// The machine with tasks of the most jobs.
+fn most_jobs(cluster: &Cluster) -> Doomed {
     let machines = cluster.workers.keys().cloned();
     let with_jobs = machines.map(|machine| Doomed {
         jobs: cluster.jobs_on(&machine),
         machine,
     });
     let doomed = with_jobs.max_by_key(|doomed| doomed.jobs.len());
-    (cluster, doomed.expect("machines"))
+    doomed.expect("machines")
 }
 
 /// While a report of the machine is under way, an order to it is carried out and answered. The answer is the
@@ -54,13 +61,16 @@
     cluster.trouble.slow_reports_ms.clear();
 }
 
-/// Nothing passes between the machine and controllers any more, and no rule is broken until its tasks run
-/// elsewhere.
-fn cut_off(cluster: &mut Cluster, doomed: &Doomed) {
-    cluster.trouble.mute.insert(doomed.machine.clone());
-    cluster.trouble.deaf.insert(doomed.machine.clone());
+/// Nothing passes between the machine and controllers any more.
+fn cut_off(cluster: &mut Cluster, machine: &MachineId) {
+    cluster.trouble.mute.insert(machine.clone());
+    cluster.trouble.deaf.insert(machine.clone());
+}
+
+/// So much later no rule was broken, and what was on the machine goes on elsewhere.
+fn goes_on_elsewhere(cluster: &mut Cluster, doomed: &Doomed, within_ms: u64) {
     let started = cluster.starts.len();
-    cluster.run(30_000);
+    cluster.run(within_ms);
     assert!(
         cluster.rules.broken.is_empty(),
         "{:?}",
@@ -77,7 +87,8 @@
 fn a_report_overtaken_by_the_answer_to_an_order_renews_the_lease_on_both_sides() {
     let (mut cluster, mut doomed) = two_machines();
     order_overtakes_report(&mut cluster, &mut doomed);
-    cut_off(&mut cluster, &doomed);
+    cut_off(&mut cluster, &doomed.machine);
+    goes_on_elsewhere(&mut cluster, &doomed, 30_000);
 }
 
 // The same twice in a row: each time the account fell back by another interval of reports.
@@ -86,5 +97,53 @@
     let (mut cluster, mut doomed) = two_machines();
     order_overtakes_report(&mut cluster, &mut doomed);
     order_overtakes_report(&mut cluster, &mut doomed);
-    cut_off(&mut cluster, &doomed);
+    cut_off(&mut cluster, &doomed.machine);
+    goes_on_elsewhere(&mut cluster, &doomed, 30_000);
+}
+
+// Part of the same incident: tasks that were counted as gone while they ran made their team exceed its limit.
+#[test]
+fn a_team_at_its_limit_stays_there_while_a_machine_with_its_tasks_is_cut_off() {
+    const RED_MOST: usize = 8;
+    let mut cluster = ready_with_boots_of(200.0);
+    cluster.capacity = 3;
+    cluster.run_ms = 120_000;
+    cluster.submit(0, &long_job(100, 4));
+    let red = |id: u64, tasks: u32| {
+        let mut job = long_job(id, tasks);
+        job["Cuadrilla"] = json!("red");
+        job
+    };
+    for id in 1..=RED_MOST as u64 {
+        cluster.submit(0, &red(id, 1));
+    }
+    cluster.until("all to run", 60_000, |c| c.running().len() == RED_MOST + 4);
+    cluster.withdraw(0, 100);
+    cluster.submit(0, &red(9, 4));
+    cluster.run(3_000);
+    assert_eq!(cluster.running().len(), RED_MOST, "the rest waits");
+    let mut doomed = most_jobs(&cluster);
+    order_overtakes_report(&mut cluster, &mut doomed);
+    cut_off(&mut cluster, &doomed.machine);
+    let started = cluster.starts.len();
+    cluster.run(30_000);
+    assert!(
+        cluster.rules.broken.is_empty(),
+        "{:?}",
+        cluster.rules.broken
+    );
+    assert!(cluster.starts.len() > started, "others go on");
+}
+
+// The other side of the fix: what renews a lease must not keep a dead machine's tasks for as long as copies of it come.
+#[test]
+fn copies_of_an_overtaken_report_do_not_keep_the_tasks_of_a_dead_machine() {
+    let (mut cluster, mut doomed) = two_machines();
+    cluster.trouble.copies_after_ms = (4..120).map(|half| half * 500).collect();
+    order_overtakes_report(&mut cluster, &mut doomed);
+    cluster.trouble.copies_after_ms.clear();
+    // It is still listed, so nothing but its lease tells that its tasks are gone.
+    cluster.hang(&doomed.machine, 120_000);
+    goes_on_elsewhere(&mut cluster, &doomed, 20_000);
+    assert!(cluster.effects("copy") > 100, "copies came all the time");
 }
--- a/crates/worksshunt-core/tests/scenarios/mixed.rs
+++ b/crates/worksshunt-core/tests/scenarios/mixed.rs
@@ -54,7 +54,7 @@
     let node = dice.node();
     let for_ms = dice.ms(500..22_000);
     let machine = dice.machine(cluster);
-    match (dice.0.u32(0..26), machine) {
+    match (dice.0.u32(0..27), machine) {
         (0, _) => {
             let leader = cluster.leader();
             cluster.bounce(leader, dice.ms(30..7_000));
@@ -144,7 +144,8 @@
             cluster.later(for_ms, |w| w.trouble.slow_links = None);
         }
         (23, _) => hold_workers(cluster, node, dice.ms(200..6_000)),
-        (24 | 25, _) => flapping(cluster, dice, for_ms),
+        (24, _) => flapping(cluster, dice, for_ms),
+        (25 | 26, Some(id)) => overtaken_then_cut_off(cluster, dice, id),
         (21, Some(id)) => {
             cluster.workers.remove(&id);
         }
@@ -212,6 +213,31 @@
     });
 }
 
+/// Reports of a machine take long, while orders to it do not; some moments later nothing passes between it and
+/// controllers for longer than a lease.
+fn overtaken_then_cut_off(cluster: &mut Cluster, dice: &mut Dice, id: MachineId) {
+    let slow = (id.clone(), dice.ms(300..3_900));
+    cluster.trouble.slow_reports_ms.extend([slow]);
+    for job in cluster.jobs_on(&id).into_iter().take(2) {
+        let node = dice.node();
+        let ms = dice.ms(0..5_000);
+        cluster.later(ms, move |w| {
+            w.send_withdraw(node, job);
+        });
+    }
+    let (cut, heals) = (id.clone(), id.clone());
+    let slow_for_ms = dice.ms(2_000..8_000);
+    cluster.later(slow_for_ms, move |w| {
+        w.trouble.slow_reports_ms.remove(&cut);
+        w.trouble.mute.insert(cut.clone());
+        w.trouble.deaf.insert(cut);
+    });
+    cluster.later(slow_for_ms + dice.ms(15_000..22_000), move |w| {
+        w.trouble.mute.remove(&heals);
+        w.trouble.deaf.remove(&heals);
+    });
+}
+
 fn tell(seed: u64) {
     let mut dice = Dice(fastrand::Rng::with_seed(seed));
     let mut cluster = Cluster::new();
