Newcomers beyond all connections wait instead of being dropped

Cause: more_clients_than_connections_are_all_served failed beside load. Traced with the errors of each call: every lost answer was a newcomer that the server accepted and dropped because all 16 connections were in use (beside load the clients come at one moment instead of 5 ms apart). No request was lost on a connection about to be closed, as the issue supposed.

Change: a connection is accepted only while one is free; newcomers wait in the system's queue. Connections are closed after each answer then, so one is free within milliseconds.

--- a/crates/worksshunt-net/src/connections.rs
+++ b/crates/worksshunt-net/src/connections.rs
@@ -2,12 +2,14 @@
 //!
 //! A controller has a limited number of sockets, and may have to serve more clients than that: all machines when it
 //! is the only one left. So when connections run short each is closed after its answer, and the clients share
-//! them, at the price of opening a new one for each request.
+//! them, at the price of opening a new one for each request. Newcomers beyond the limit wait in the system's queue until
+//! one is free.
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use async_channel::{Receiver, Sender};
 use worksshunt_core::constants::{CONNECTIONS_TOLD_MS, SPARE_CONNECTIONS};
 
 /// How open connections compare with their limit.
@@ -17,7 +19,7 @@
     Ample,
     /// They are closed after each answer.
     Short,
-    /// There were none left for a newcomer; the others are closed after each answer.
+    /// There is none left, newcomers wait; the others are closed after each answer.
     UsedUp,
 }
 
@@ -29,6 +31,8 @@
     supply: Cell<Supply>,
     /// When the log was last told of a change.
     told: Cell<Option<Instant>>,
+    /// Tells who waits that one has ended.
+    ended: (Sender<()>, Receiver<()>),
 }
 
 /// One open connection.
@@ -43,6 +47,7 @@
             open: Cell::new(0),
             supply: Cell::new(Supply::Ample),
             told: Cell::new(None),
+            ended: async_channel::bounded(1),
         })
     }
 
@@ -60,6 +65,15 @@
         Some(Slot(Rc::clone(self)))
     }
 
+    /// Waits until there may be another one.
+    pub async fn one_is_free(&self) {
+        while self.open.get() >= self.most {
+            self.set_supply(Supply::UsedUp);
+            // The other end is in here as well, so it is never closed.
+            let _ = self.ended.1.recv().await;
+        }
+    }
+
     /// Whether connections run short, so that each is to be closed after its answer.
     pub fn short(&self) -> bool {
         self.supply.get() != Supply::Ample
@@ -72,6 +86,8 @@
         if self.open.get() <= ample {
             self.set_supply(Supply::Ample);
         }
+        // If it is full, whoever waits is being told.
+        let _ = self.ended.0.try_send(());
     }
 
     /// Whether the log should be told of another change: with fewer connections than clients there is one
@@ -102,7 +118,7 @@
                 );
             }
             Supply::UsedUp => {
-                tracing::warn!(open, most, "no connection is left: newcomers are refused");
+                tracing::warn!(open, most, "no connection is left: newcomers wait");
             }
         }
     }
--- a/crates/worksshunt-net/src/connections/tests.rs
+++ b/crates/worksshunt-net/src/connections/tests.rs
@@ -29,28 +29,25 @@
     assert_eq!(slots.len(), 13);
 }
 
-// Guards against machines that are never heard because others hold all connections.
-#[test]
-fn more_clients_than_connections_are_all_served() {
-    const CONNECTIONS: usize = 16;
-    const CLIENTS: usize = 48;
+/// How many of three answers each of `clients` gets from a server with so many connections, when they begin one
+/// after the other with such a pause.
+fn answers(clients: usize, connections: usize, pause: Duration) -> Vec<usize> {
     let executor = Rc::new(Executor::new());
     let listener =
         async_io::Async::<std::net::TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
     let address = listener.get_ref().local_addr().expect("an address");
     let handler: server::Handler = Rc::new(|_| Box::pin(async { Reply::json(200, &"fine") }));
     let idle = Duration::from_secs(20);
-    let serving = server::serve(Rc::clone(&executor), listener, CONNECTIONS, idle, handler);
+    let serving = server::serve(Rc::clone(&executor), listener, connections, idle, handler);
     executor.spawn(serving).detach();
-    let served = Rc::new(RefCell::new(vec![0; CLIENTS]));
+    let served = Rc::new(RefCell::new(vec![0; clients]));
     let (done, all_done) = async_channel::unbounded();
-    for client in 0..CLIENTS {
+    for client in 0..clients {
         let (served, done) = (Rc::clone(&served), done.clone());
         executor
             .spawn(async move {
                 let http = HttpClient::new(address, 1);
-                // One at a time at first, as workers do that come up one after the other.
-                async_io::Timer::after(Duration::from_millis(client as u64 * 5)).await;
+                async_io::Timer::after(pause * client as u32).await;
                 for _ in 0..3 {
                     let call = http.call(Method::Get, "/healthz", None, Duration::from_secs(2));
                     if matches!(call.await, Ok((200, _))) {
@@ -63,9 +60,23 @@
             .detach();
     }
     async_io::block_on(executor.run(async {
-        for _ in 0..CLIENTS {
+        for _ in 0..clients {
             all_done.recv().await.expect("a client");
         }
     }));
-    assert_eq!(*served.borrow(), vec![3; CLIENTS]);
+    served.take()
+}
+
+// Guards against machines that are never heard because others hold all connections. They come one at a time at
+// first, as workers do that come up one after the other.
+#[test]
+fn more_clients_than_connections_are_all_served() {
+    let pause = Duration::from_millis(5);
+    assert_eq!(answers(48, 16, pause), vec![3; 48]);
+}
+
+// Beside load, those above came at one moment: a newcomer beyond the limit was accepted and dropped unanswered.
+#[test]
+fn a_crowd_that_comes_at_once_is_served_to_the_last() {
+    assert_eq!(answers(48, 4, Duration::ZERO), vec![3; 48]);
 }
--- a/crates/worksshunt-net/src/lib.rs
+++ b/crates/worksshunt-net/src/lib.rs
@@ -51,6 +51,7 @@
     serve: impl Fn(Async<TcpStream>, SocketAddr) -> F,
 ) {
     loop {
+        connections.one_is_free().await;
         let (stream, from) = match listener.accept().await {
             Ok(accepted) => accepted,
             Err(error) => {
@@ -59,6 +60,7 @@
                 continue;
             }
         };
+        // Nobody else takes any, so the one that was free still is.
         let Some(slot) = connections.begin() else {
             continue;
         };
