--- a/crates/worksshunt-core/src/machines/reports/tests.rs
+++ b/crates/worksshunt-core/src/machines/reports/tests.rs
@@ -1,6 +1,7 @@
-//! Tests of `reports`: how many machines that left are remembered.
+//! Tests of `reports`: how many machines that left are remembered, and which reports are answered.
 
 use super::*;
+use crate::placement::Parameters;
 
 fn name(n: usize) -> MachineId {
     MachineId(format!("i-{n:06}"))
@@ -35,3 +36,61 @@
     assert_eq!(sightings.order.len(), SIGHTINGS_KEPT);
     assert_eq!(sightings.newest.len(), SIGHTINGS_KEPT);
 }
+
+/// A report of machine 0 in its first session.
+fn report(number: u64) -> Report {
+    let report = serde_json::json!({
+        "Estiba": name(0), "Addr": "10.1.0.1:9000", "Modelo": "m4", "Patio": "a", "Prestados": true,
+        "Jornada": 1, "Folio": number, "Vara": 1, "AvisoS": null, "Piezas": [],
+    });
+    serde_json::from_value(report).expect("a report")
+}
+
+/// A part that has heard of machine 0 by report 5 and by an answer to orders with number 7 since.
+fn part() -> Part {
+    let workers = serde_json::json!({"report_s": 2.5, "lease_s": 16.0, "cancel_s": 30.0});
+    let limits =
+        serde_json::json!({"rps": 200.0, "write_rps": 40.0, "value_kb": 8.0, "txn_ops": 20});
+    let workers = serde_json::from_value(workers).expect("workers");
+    let limits = serde_json::from_value(limits).expect("limits");
+    let mut part = Part::new(Parameters::default(), &workers, &limits);
+    let catalog = Catalog::default();
+    part.report(Time(1_000), &report(5), Epoch(1), &catalog);
+    part.take_in(Time(2_000), &report(7), Epoch(1), &catalog, true);
+    part
+}
+
+fn reply(part: &mut Part, number: u64, now: Time) -> ReportReply {
+    part.report(now, &report(number), Epoch(1), &Catalog::default())
+}
+
+#[test]
+fn an_overtaken_report_is_answered_without_commands_and_a_copy_of_it_is_not() {
+    let mut part = part();
+    assert_eq!(
+        reply(&mut part, 6, Time(3_000)),
+        ReportReply::Counted(Vec::new())
+    );
+    assert_eq!(reply(&mut part, 6, Time(3_100)), ReportReply::Stale);
+}
+
+// Its worker has killed everything by then, and whatever it hears must not say otherwise.
+#[test]
+fn an_overtaken_report_of_a_lost_machine_is_not_answered() {
+    let mut part = part();
+    part.lose(&name(0), Time(3_000));
+    assert_eq!(reply(&mut part, 6, Time(3_100)), ReportReply::Stale);
+}
+
+#[test]
+fn no_report_of_a_returned_machine_is_answered() {
+    let mut part = part();
+    part.returned(&name(0), Time(3_000));
+    for number in [6, 7, 8] {
+        assert_eq!(reply(&mut part, number, Time(3_100)), ReportReply::Stale);
+    }
+    assert_eq!(
+        reply(&mut self::part(), 8, Time(3_100)),
+        ReportReply::Counted(Vec::new())
+    );
+}
