Room, submissions and the census have homes below what uses them

Structure only: jobs used placement (Room) and quota (the check of submissions), which use jobs; census and rules of the simulation used each other. Room is a module of its own, what checks submissions stands above jobs and quota, and what is seen on machines belongs to the census.

--- a/crates/worksshunt-core/src/controller/requests.rs
+++ b/crates/worksshunt-core/src/controller/requests.rs
@@ -7,11 +7,10 @@
 use crate::capacity::{shortfalls, Shortfall};
 use crate::constants::*;
 use crate::fleet::CloudRequest;
-use crate::jobs::{
-    check_possible, final_key, intake_key, is_intake, open_key, parse, Job, Refusal, OPEN,
-};
+use crate::jobs::{final_key, intake_key, is_intake, open_key, Job, OPEN};
 use crate::machines::ReportReply;
 use crate::placement::owner;
+use crate::submissions::{check_possible, parse, Refusal};
 use crate::time::{Now, Time};
 use crate::users::{accepted, resolve, settled, Ask, Question, Reply, RequestId, Step, Submission};
 
--- a/crates/worksshunt-core/src/fleet/mod.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -15,7 +15,7 @@
     BOOT_EXTRA_S, BOOT_FACTOR, IDLE_BOOTS, IDLE_LEAST_MS, RETURN_MOST, SILENT_RETURN_LEASES,
     UNHEARD_REPORTS,
 };
-use crate::placement::Room;
+use crate::room::Room;
 use crate::scheduler::{Demand, Forecast, MachineView};
 use crate::time::Time;
 
--- a/crates/worksshunt-core/src/fleet/rental.rs
+++ b/crates/worksshunt-core/src/fleet/rental.rs
@@ -5,7 +5,7 @@
 use worksshunt_wire::cloud::{Catalog, MachineNames, RentRequest};
 
 use crate::constants::{RENT_MOST, RENT_REFUSED_MS, ROUNDING};
-use crate::placement::Room;
+use crate::room::Room;
 use crate::scheduler::Demand;
 use crate::time::Time;
 
@@ -94,7 +94,7 @@
         demand: &Demand,
         in_zone: &BTreeMap<&String, usize>,
     ) -> Option<(Offer, f64)> {
-        let need = Room::of_job(&demand.job);
+        let need = demand.job.room();
         let mut best: Option<(f64, usize, Offer, f64)> = None;
         for t in &catalog.types {
             let slots = slots(&Room::of_type(t), &need);
--- a/crates/worksshunt-core/src/fleet/supply.rs
+++ b/crates/worksshunt-core/src/fleet/supply.rs
@@ -8,7 +8,7 @@
 
 use crate::constants::{RESERVE_BOOTS, ROUNDING};
 use crate::jobs::Job;
-use crate::placement::Room;
+use crate::room::Room;
 use crate::scheduler::{Demand, Expected};
 
 use super::Offer;
@@ -101,7 +101,7 @@
 pub(super) fn unserved(supply: &mut Vec<Supply>, demand: &[Demand]) -> Vec<Demand> {
     let mut left = Vec::new();
     for wanted in demand {
-        let need = Room::of_job(&wanted.job);
+        let need = wanted.job.room();
         let mut tasks = wanted.tasks;
         if tasks == 0 {
             continue;
--- a/crates/worksshunt-core/src/jobs/tests.rs
+++ b/crates/worksshunt-core/src/jobs/tests.rs
@@ -6,7 +6,7 @@
 use worksshunt_wire::TaskId;
 
 use super::*;
-use crate::constants::DONE_CHUNK;
+use crate::constants::{DONE_CHUNK, MAX_TASKS};
 use crate::pages::Entry;
 
 #[test]
--- a/crates/worksshunt-core/src/lib.rs
+++ b/crates/worksshunt-core/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod placement;
 pub mod quota;
 pub mod records;
+pub mod room;
 pub mod scheduler;
+pub mod submissions;
 pub mod time;
 pub mod users;
--- a/crates/worksshunt-core/src/machines/machine.rs
+++ b/crates/worksshunt-core/src/machines/machine.rs
@@ -8,7 +8,7 @@
 
 use crate::constants::{FAULTY_JOBS, UNHEEDED_ANSWERS};
 use crate::jobs::Job;
-use crate::placement::Room;
+use crate::room::Room;
 use crate::time::Time;
 
 use super::lease::{LeaseAccount, MessageNumber};
@@ -244,7 +244,7 @@
         for tracked in self.attempts.values() {
             match (&tracked.job, tracked.state) {
                 (_, AttemptState::Completed) => {}
-                (Some(job), _) => free.take(&Room::of_job(job)),
+                (Some(job), _) => free.take(&job.room()),
                 // Of unknown size: nothing may join it.
                 (None, _) => return Room::default(),
             }
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -30,8 +30,9 @@
 };
 use crate::jobs::Job;
 use crate::pages::{page_bytes, PageWrite, Pages};
-use crate::placement::{Outcome, OverCapacity, Parameters, Room, Speed};
+use crate::placement::{Outcome, OverCapacity, Parameters, Speed};
 use crate::records::Recorded;
+use crate::room::Room;
 use crate::time::Time;
 
 use exchange::Outgoing;
--- a/crates/worksshunt-core/src/machines/placing.rs
+++ b/crates/worksshunt-core/src/machines/placing.rs
@@ -7,7 +7,7 @@
 use worksshunt_wire::{JobId, MachineId, Session};
 
 use crate::jobs::{Job, Mirror};
-use crate::placement::{choose, Candidate, Room, Speed};
+use crate::placement::{choose, Candidate, Speed};
 use crate::records::Recorded;
 use crate::time::{Budget, Time};
 
@@ -90,7 +90,7 @@
         kept: bool,
         again: bool,
     ) -> impl Iterator<Item = Candidate<'a>> + 'a {
-        let need = Room::of_job(job);
+        let need = job.room();
         self.open.iter().filter_map(move |(_, id)| {
             let machine = self.machines.get(id)?;
             let info = machine.info.as_ref()?;
--- a/crates/worksshunt-core/src/machines/reports.rs
+++ b/crates/worksshunt-core/src/machines/reports.rs
@@ -8,7 +8,8 @@
 use worksshunt_wire::{Attempt, Epoch, MachineId, Session};
 
 use crate::constants::{SIGHTINGS_KEPT, SIGHTINGS_KEPT_MS};
-use crate::placement::{Outcome, Room, Speed};
+use crate::placement::{Outcome, Speed};
+use crate::room::Room;
 use crate::time::Time;
 
 use super::lease::{Arrival, MessageNumber};
--- /dev/null
+++ b/crates/worksshunt-core/src/room.rs
@@ -0,0 +1,58 @@
+//! Resources of machines, and what tasks take of them.
+
+use worksshunt_wire::cloud::MachineType;
+use worksshunt_wire::user::JobSpec;
+
+use crate::constants::ROUNDING;
+
+/// Resources of a machine or a task.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Room {
+    /// Processors.
+    pub cpus: f64,
+    /// Accelerators.
+    pub gpus: f64,
+    /// Memory, GB.
+    pub memory_gb: f64,
+}
+
+impl Room {
+    /// All of a machine type.
+    pub fn of_type(t: &MachineType) -> Room {
+        Room {
+            cpus: t.cpus,
+            gpus: t.gpus,
+            memory_gb: t.memory_gb,
+        }
+    }
+
+    /// What one task of such a job takes.
+    pub fn of_task(spec: &JobSpec) -> Room {
+        Room {
+            cpus: spec.cpus,
+            gpus: spec.gpus,
+            memory_gb: spec.memory_gb,
+        }
+    }
+
+    /// Whether `need` fits in here.
+    pub fn holds(&self, need: &Room) -> bool {
+        need.cpus <= self.cpus + ROUNDING
+            && need.gpus <= self.gpus + ROUNDING
+            && need.memory_gb <= self.memory_gb + ROUNDING
+    }
+
+    /// Takes `need` out.
+    pub fn take(&mut self, need: &Room) {
+        self.cpus -= need.cpus;
+        self.gpus -= need.gpus;
+        self.memory_gb -= need.memory_gb;
+    }
+
+    /// Puts `back` in.
+    pub fn give_back(&mut self, back: &Room) {
+        self.cpus += back.cpus;
+        self.gpus += back.gpus;
+        self.memory_gb += back.memory_gb;
+    }
+}
--- a/crates/worksshunt-core/src/scheduler/handout.rs
+++ b/crates/worksshunt-core/src/scheduler/handout.rs
@@ -10,7 +10,7 @@
     ATTEMPTS_PER_EPOCH, OLD_JOB_MS, ROUND_EVERY_MS, STARVED_MS, STARVED_OLD_MS, STARVED_SHARE,
 };
 use crate::jobs::Job;
-use crate::placement::Room;
+use crate::room::Room;
 use crate::time::{Budget, Now, Time};
 
 use super::parts::{Down, PartView};
@@ -240,7 +240,7 @@
         if let Some(place) = self.claimed_with_room(job, zones.as_ref()) {
             places.push(place);
         }
-        let need = Room::of_job(job);
+        let need = job.room();
         let mut shelves: Vec<Shelf> = self
             .parts
             .iter()
@@ -277,7 +277,7 @@
         job: &Job,
         zones: Option<&BTreeSet<String>>,
     ) -> Shelf<'a> {
-        let need = Room::of_job(job);
+        let need = job.room();
         let kept = job.spec.spot && self.keeps_ordinary(now);
         let mut machines: Vec<(Room, &MachineId)> = part
             .with_room(need.cpus)
@@ -307,7 +307,7 @@
 
     /// A machine claimed for the job that has room by now.
     fn claimed_with_room(&self, job: &Job, zones: Option<&BTreeSet<String>>) -> Option<Place> {
-        let need = Room::of_job(job);
+        let need = job.room();
         self.claims_for(job.spec.id).find_map(|machine| {
             let (part, view) = self
                 .parts
--- a/crates/worksshunt-core/src/scheduler/parts.rs
+++ b/crates/worksshunt-core/src/scheduler/parts.rs
@@ -8,7 +8,7 @@
 
 use crate::constants::{PART_SILENT_MS, PROGRESS_EVERY_MS, ROUNDING, SILENT_SHARE, SYNC_CHANGES};
 use crate::jobs::Job;
-use crate::placement::Room;
+use crate::room::Room;
 use crate::time::Time;
 
 use super::{Out, Scheduler};
@@ -103,13 +103,13 @@
 
     /// Takes a task's room out of a machine.
     pub fn reserve(&mut self, id: &MachineId, job: &Job) {
-        self.adjust(id, |view| view.reserved.give_back(&Room::of_job(job)));
+        self.adjust(id, |view| view.reserved.give_back(&job.room()));
     }
 
     /// Gives reserved room back.
     pub fn unreserve(&mut self, id: Option<&MachineId>, job: &Job) {
         if let Some(id) = id {
-            self.adjust(id, |view| view.reserved.take(&Room::of_job(job)));
+            self.adjust(id, |view| view.reserved.take(&job.room()));
         }
     }
 
--- a/crates/worksshunt-core/src/scheduler/preempt.rs
+++ b/crates/worksshunt-core/src/scheduler/preempt.rs
@@ -9,8 +9,8 @@
 
 use crate::constants::{PREEMPT_AFTER_MS, REPLICA_LOSS_MS};
 use crate::jobs::Job;
-use crate::placement::Room;
 use crate::quota::Quota;
+use crate::room::Room;
 use crate::time::{Budget, Now};
 
 use super::parts::Down;
@@ -65,7 +65,7 @@
     /// Whether room for the job can be there at all: on some machine as it is, or where tasks may be stopped. Most
     /// jobs that wait on a full fleet are answered for by this, without a look at what runs on each machine.
     fn may_have_room(&self, job: &Job, stoppable: &[bool]) -> bool {
-        let need = Room::of_job(job);
+        let need = job.room();
         let mut machines = self.machines.values();
         stoppable.contains(&true) || machines.any(|ground| ground.room.holds(&need))
     }
@@ -190,7 +190,7 @@
             }
             if out.preempted {
                 // Room that earlier stops will leave.
-                ground.room.give_back(&Room::of_job(job));
+                ground.room.give_back(&job.room());
                 continue;
             }
             let ran_ms = out.ran_ms(now.steady);
@@ -231,7 +231,7 @@
     grounds: &mut BTreeMap<MachineId, Ground>,
     chosen: &mut Vec<Attempt>,
 ) -> Option<String> {
-    let need = Room::of_job(job);
+    let need = job.room();
     let mut best: Option<(u64, MachineId, Vec<usize>)> = None;
     for (id, ground) in grounds.iter() {
         let machine = ground.machine;
@@ -258,7 +258,7 @@
                 .filter(|other| other.spec.team == victim.job.spec.team);
             let over = quota.over_guarantee_without(&victim.job.spec.team, same_team);
             if may_stop(&victim.job, over, job, guarantee) {
-                room.give_back(&Room::of_job(&victim.job));
+                room.give_back(&victim.job.room());
                 cost += victim.loses_ms;
                 stopped.push(index);
             }
@@ -275,7 +275,7 @@
     let ground = grounds.get_mut(&id)?;
     for index in stopped.into_iter().rev() {
         let victim = ground.victims.remove(index);
-        ground.room.give_back(&Room::of_job(&victim.job));
+        ground.room.give_back(&victim.job.room());
         quota.give_back(&victim.job);
         tracing::debug!(attempt = %victim.attempt, machine = %id, lost_ms, job = %job.spec.id, "preempted");
         chosen.push(victim.attempt);
--- a/crates/worksshunt-core/src/users.rs
+++ b/crates/worksshunt-core/src/users.rs
@@ -13,10 +13,9 @@
 use worksshunt_wire::{JobId, Revision};
 
 use crate::constants::{INTAKE_FROM, PAGES_AT_ONCE, RETRY_AFTER_S, SUBMIT_PATIENCE_MS};
-use crate::jobs::{
-    cancelled_value, final_key, intake_value, open_key, Job, Mirror, OpenJob, Refusal,
-};
+use crate::jobs::{cancelled_value, final_key, intake_value, open_key, Job, Mirror, OpenJob};
 use crate::pages::page_bytes;
+use crate::submissions::Refusal;
 use crate::time::Time;
 
 /// Names an open request of some client.
--- a/crates/worksshunt-simulation/src/census.rs
+++ b/crates/worksshunt-simulation/src/census.rs
@@ -4,7 +4,18 @@
 
 use worksshunt_wire::{JobId, MachineId, TaskId};
 
-use crate::rules::Seen;
+/// A task on a machine, as it is there.
+#[derive(Debug, Clone)]
+pub struct Seen<'a> {
+    /// The task.
+    pub task: TaskId,
+    /// Its machine.
+    pub machine: &'a MachineId,
+    /// The machine's zone.
+    pub zone: &'a str,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+}
 
 /// A task on a machine.
 #[derive(Debug, Clone)]
--- a/crates/worksshunt-simulation/src/lib.rs
+++ b/crates/worksshunt-simulation/src/lib.rs
@@ -33,7 +33,7 @@
 use worksshunt_wire::worker::{Command, Report, TaskState};
 use worksshunt_wire::{Attempt, JobId, MachineId, Revision, TaskId};
 
-use census::Census;
+use census::{Census, Seen};
 use fixtures::catalog;
 pub use fixtures::{job, large_settings, service, settings};
 use links::Link;
@@ -44,7 +44,7 @@
 use workers::Task;
 pub use workers::Worker;
 
-use rules::{Free, Question, Rules, Seen, SILENT_MOST_MS};
+use rules::{Free, Question, Rules, SILENT_MOST_MS};
 
 /// Workers' lease, ms; as in the settings below.
 const LEASE_MS: u64 = 16_000;
--- a/crates/worksshunt-simulation/src/rules.rs
+++ b/crates/worksshunt-simulation/src/rules.rs
@@ -12,7 +12,7 @@
 use worksshunt_wire::user::JobSpec;
 use worksshunt_wire::{JobId, MachineId, TaskId};
 
-use crate::census::Census;
+use crate::census::{Census, Seen};
 
 /// How long a job may wait beside a machine with room, ms.
 pub const WAITS_MOST_MS: u64 = 90_000;
@@ -48,19 +48,6 @@
     waits: Option<(u64, usize)>,
 }
 
-/// A task on a machine, as it is there.
-#[derive(Debug, Clone)]
-pub struct Seen<'a> {
-    /// The task.
-    pub task: TaskId,
-    /// Its machine.
-    pub machine: &'a MachineId,
-    /// The machine's zone.
-    pub zone: &'a str,
-    /// Whether it is a spot machine.
-    pub spot: bool,
-}
-
 /// Room on a machine that could take a task.
 #[derive(Debug)]
 pub struct Free<'a> {
