--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -1,5 +1,6 @@
 //! One controller: takes events in, keeps the state, gives actions out.
 
+mod answers;
 mod epochs;
 mod events;
 mod lanes;
