--- a/crates/worksshunt-core/tests/scenarios/mixed.rs
+++ b/crates/worksshunt-core/tests/scenarios/mixed.rs
@@ -1,6 +1,6 @@
 //! Days on which every trouble that the cluster knows comes at any time, together with any other.
 //!
-//! A few are told each time. `SCENARIOS_MIXED=FROM..TO` has the test tell those seeds instead, for a search.
+//! Some are told each time. `SCENARIOS_MIXED=FROM..TO` has the test tell those seeds instead, for a search.
 
 use std::ops::Range;
 
@@ -11,6 +11,9 @@
 use crate::long_job;
 use worksshunt_simulation::{job, Cluster, LateWrites, SlowLinks};
 
+/// Days told in every run. Before the fix of December 2026 the one of seed 142 broke `ran_twice`.
+const CI_SEEDS: Range<u64> = 1..161;
+
 /// Draws for one day.
 struct Dice(fastrand::Rng);
 
@@ -296,7 +299,7 @@
             let (from, to) = range.split_once("..").expect("FROM..TO");
             from.parse().expect("a number")..to.parse().expect("a number")
         }
-        Err(_) => 1..13,
+        Err(_) => CI_SEEDS,
     };
     // Seeds are begun in their order, so those before the first finding are all played.
     let only_first = std::env::var_os("SCENARIOS_FIRST").is_some();
