--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -259,6 +259,7 @@
             // The job is over: nothing is left to be made durable.
             tracked.durable |= grace_s == 0.0;
         } else {
+            tracing::debug!(task = %tracked.task, %attempt, machine = %id, grace_s, "to be stopped");
             tracked.stop = Some(tracked.stop.map_or(grace_s, |before| before.min(grace_s)));
             self.to_order.insert(id.clone());
         }
--- a/crates/worksshunt-core/src/machines/orders.rs
+++ b/crates/worksshunt-core/src/machines/orders.rs
@@ -72,6 +72,10 @@
             if commands.is_empty() && !probe {
                 continue;
             }
+            let renewed_ago_ms = now.since(machine.lease.renewed);
+            for command in &commands {
+                tracing::debug!(machine = %id, %token, ?session, renewed_ago_ms, %command, "direct order");
+            }
             machine.ordering = true;
             if probe {
                 machine.order_from = now + PROBE_PAUSE_MS;
--- a/crates/worksshunt-core/src/machines/reports.rs
+++ b/crates/worksshunt-core/src/machines/reports.rs
@@ -100,7 +100,11 @@
             Arrival::Newest => machine.lease.count(number, now),
         }
         self.take_in(now, report, epoch, catalog, false);
-        ReportReply::Counted(self.commands(report, now))
+        let commands = self.commands(report, now);
+        for command in &commands {
+            tracing::debug!(machine = %report.machine, token = %epoch, ?number, %command, "answered with");
+        }
+        ReportReply::Counted(commands)
     }
 
     /// A machine that is not in the part reports to it.
--- a/crates/worksshunt-core/src/membership.rs
+++ b/crates/worksshunt-core/src/membership.rs
@@ -418,6 +418,8 @@
                 return Finding::NewEpoch;
             }
             self.confirmed(sent);
+            let (epoch, revision) = (self.token(), listing.revision);
+            tracing::debug!(%epoch, leads = self.leads(), ?revision, ?sent, "epoch confirmed by a read");
         }
         self.propose(&me, &alive, &unreached)
             .map_or(Finding::Steady, Finding::Propose)
--- a/crates/worksshunt-wire/src/worker.rs
+++ b/crates/worksshunt-wire/src/worker.rs
@@ -132,6 +132,21 @@
     },
 }
 
+/// As logs name it.
+impl std::fmt::Display for Command {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Command::Launch { task, attempt } => write!(f, "launch {task} {attempt}"),
+            Command::Halt {
+                task,
+                attempt,
+                grace_s,
+            } => write!(f, "halt {task} {attempt} grace_s {grace_s}"),
+            Command::Reap { task, attempt } => write!(f, "reap {task} {attempt}"),
+        }
+    }
+}
+
 /// Answer to a report.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ReportAnswer {
