After re-reading: one judge of what is in flight, cargo's messages by the JSON library, twins joined

A lost machine was a special case beside the lease account's own judgement; now losing it closes the account up to the newest message, and LeaseAccount::arrival alone decides. Reports up to that message get 503 also after the machine is heard again, which is no laxer. worksshunt-search picked cargo's JSON apart by hand. What counts as an answer of the state service, and the part for tests of machines, stood twice.

--- a/crates/worksshunt-core/src/controller/answers.rs
+++ b/crates/worksshunt-core/src/controller/answers.rs
@@ -22,7 +22,7 @@
         out: &mut Vec<Action>,
     ) {
         let t = now.steady;
-        if !matches!(reply, StoreReply::Refused | StoreReply::Unknown) {
+        if reply.is_answer() {
             self.store_heard = t;
             self.epoch_poll.state_service_answered();
         }
@@ -65,9 +65,8 @@
     }
 
     fn new_lease_answer(&mut self, now: Time, reply: StoreReply) {
-        let answered = !matches!(reply, StoreReply::Refused | StoreReply::Unknown);
-        self.lease_turn
-            .retry(now, if answered { 0 } else { STORE_RETRY_MS });
+        let pause_ms = if reply.is_answer() { 0 } else { STORE_RETRY_MS };
+        self.lease_turn.retry(now, pause_ms);
         if let StoreReply::Lease(lease) = reply {
             self.membership.granted(lease);
             self.control_turn.next = now;
--- a/crates/worksshunt-core/src/controller/events.rs
+++ b/crates/worksshunt-core/src/controller/events.rs
@@ -58,6 +58,13 @@
     Unknown,
 }
 
+impl StoreReply {
+    /// Whether the state service has carried the request out, or said why it does not.
+    pub(super) fn is_answer(&self) -> bool {
+        !matches!(self, StoreReply::Refused | StoreReply::Unknown)
+    }
+}
+
 /// What a state service request is for.
 #[derive(Debug, Clone, PartialEq)]
 pub enum StoreTag {
--- a/crates/worksshunt-core/src/machines/lease.rs
+++ b/crates/worksshunt-core/src/machines/lease.rs
@@ -81,7 +81,7 @@
         self.heard = now;
     }
 
-    /// The machine is gone for good: whatever still comes of it is a copy.
+    /// Nothing that left up to the message `last` waits for an answer any more.
     pub fn close(&mut self, last: MessageNumber) {
         self.newest = last;
         self.newest_report = last;
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -284,6 +284,8 @@
             return;
         };
         machine.lost = true;
+        // Its worker's session is over, and with it what it waits for; only something newer says otherwise.
+        machine.lease.close(machine.lease.newest);
         let attempts: Vec<Attempt> = machine
             .attempts
             .iter()
--- a/crates/worksshunt-core/src/machines/reports.rs
+++ b/crates/worksshunt-core/src/machines/reports.rs
@@ -74,8 +74,6 @@
         let id = &report.machine;
         let number = (report.session, report.seq);
         let arrival = match self.machines.get(id) {
-            // Its session is over, and with it what the worker waits for; only something newer says otherwise.
-            Some(machine) if machine.lost && number <= machine.lease.newest => Arrival::Stale,
             Some(machine) => machine.lease.arrival(number, now),
             None if number > self.sightings.newest(id) => {
                 self.meet(id, now);
--- a/crates/worksshunt-core/src/machines/reports/tests.rs
+++ b/crates/worksshunt-core/src/machines/reports/tests.rs
@@ -1,7 +1,6 @@
 //! Tests of `reports`: how many machines that left are remembered, and which reports are answered.
 
 use super::*;
-use crate::placement::Parameters;
 
 fn name(n: usize) -> MachineId {
     MachineId(format!("i-{n:06}"))
@@ -48,12 +47,7 @@
 
 /// A part that has heard of machine 0 by report 5 and by an answer to orders with number 7 since.
 fn part() -> Part {
-    let workers = serde_json::json!({"report_s": 2.5, "lease_s": 16.0, "cancel_s": 30.0});
-    let limits =
-        serde_json::json!({"rps": 200.0, "write_rps": 40.0, "value_kb": 8.0, "txn_ops": 20});
-    let workers = serde_json::from_value(workers).expect("workers");
-    let limits = serde_json::from_value(limits).expect("limits");
-    let mut part = Part::new(Parameters::default(), &workers, &limits);
+    let mut part = crate::machines::tests::part(0);
     let catalog = Catalog::default();
     part.report(Time(1_000), &report(5), Epoch(1), &catalog);
     part.take_in(Time(2_000), &report(7), Epoch(1), &catalog, true);
--- a/crates/worksshunt-core/src/machines/tests.rs
+++ b/crates/worksshunt-core/src/machines/tests.rs
@@ -4,7 +4,8 @@
 
 use super::*;
 
-fn part(machines: usize) -> Part {
+/// A part with so many machines that were never heard of.
+pub(super) fn part(machines: usize) -> Part {
     let workers = json!({"report_s": 5.0, "lease_s": 26.5, "cancel_s": 46.5});
     let state = json!({"rps": 500.0, "write_rps": 60.0, "value_kb": 8.0, "txn_ops": 20});
     let workers = serde_json::from_value(workers).expect("workers");
--- a/crates/worksshunt-search/src/scratch.rs
+++ b/crates/worksshunt-search/src/scratch.rs
@@ -5,6 +5,8 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
+use serde::Deserialize;
+
 use crate::seeds::SeedRange;
 
 /// What of the sources is copied.
@@ -38,6 +40,13 @@
     pub rule: String,
 }
 
+/// What cargo says of something it has built.
+#[derive(Deserialize)]
+struct Artifact {
+    /// The program, if it is one.
+    executable: Option<PathBuf>,
+}
+
 /// A copy of the sources.
 pub struct Scratch {
     folder: PathBuf,
@@ -92,10 +101,10 @@
             .output()
             .map_err(ScratchError::Cargo)?;
         let text = String::from_utf8_lossy(&output.stdout);
-        // The last artifact is the test itself.
+        // The last program is the test itself.
         let program = text.lines().rev().find_map(|line| {
-            let (_, rest) = line.split_once("\"executable\":\"")?;
-            rest.split_once('"').map(|(path, _)| PathBuf::from(path))
+            let artifact: Artifact = serde_json::from_str(line).ok()?;
+            artifact.executable
         });
         match program.filter(|_| output.status.success()) {
             Some(program) => Ok(program),
