--- a/crates/worksshunt-core/tests/scale/key_value_store.rs
+++ b/crates/worksshunt-core/tests/scale/key_value_store.rs
@@ -27,6 +27,7 @@
             min_ms: 0,
             max_ms: 3_000,
         },
+        key_prefix: None,
     });
     users.query_for(&mut cluster, 20);
     cluster.faults.key_value.slow_responses_ms = 0;
--- /dev/null
+++ b/crates/worksshunt-core/tests/scenarios/claims.rs
@@ -0,0 +1,110 @@
+//! Claims on machines and the ends of jobs, which share writes, when transactions are carried out late.
+//!
+//! The incident of 2 December 2026 (`docs/incidents/inc-2026-12-02-went-back.md`):
+//!
+//! - Seen: the leader answered `done` for a job 0.1 s after its last task had completed, and went on doing so. The
+//!   other two controllers answered `running` and then `queued` for as long as the epoch lasted.
+//! - How it came about: the leader's transactions were carried out up to 8 s late. A copy of a claim's write arrived
+//!   after the claim had been released and brought its key back. The next claim on that machine shared a write with
+//!   the end of a job; the key-value store refused the write, because the claim's key existed.
+//! - Cause: the leader read a conflict on any one key as proof that an earlier copy of the whole write had been
+//!   applied, so it took the job's end for durable. The key of a claim was put again after it had been deleted, so
+//!   its conflict proves nothing about the write.
+//! - Proof: this scenario fails with the rule as it was, and the refused write in it was sent only once.
+
+use std::ops::RangeInclusive;
+
+use serde_json::{json, Value};
+
+use crate::ready;
+use worksshunt_simulation::{job, Cluster, DelayRange, LateWrites};
+
+/// Machines of the cluster, each of four processors.
+const MACHINES: usize = 2;
+/// Tasks of one processor that fill them.
+const FULL: usize = 8;
+
+/// Jobs of one narrow task.
+const SMALL_JOBS: RangeInclusive<u64> = 101..=700;
+/// Jobs of one wide task.
+const WIDE_JOBS: RangeInclusive<u64> = 1..=3;
+/// How late the copies arrive.
+const LATE: DelayRange = DelayRange {
+    min_ms: 12_000,
+    max_ms: 12_000,
+};
+
+/// A job with a task that needs a whole machine.
+fn wide(id: u64) -> Value {
+    let mut wide = job(id, 1);
+    wide["Cores"] = json!(4.0);
+    wide["CalculoS"] = json!(3.0);
+    wide
+}
+
+/// A cluster whose machines are full of narrow tasks, each the only one of its job, so that jobs end all the time.
+fn full_of_small_jobs() -> Cluster {
+    let mut cluster = ready();
+    cluster.capacity = MACHINES;
+    cluster.task_run_ms = 4_000;
+    cluster.run_spread_ms = 300;
+    cluster.faults.rapid_status_queries = true;
+    for id in SMALL_JOBS {
+        cluster.send_submit(id as usize % 3, &job(id, 1));
+    }
+    cluster.until("a full fleet", 40_000, |cluster| {
+        cluster.running().len() == FULL
+    });
+    cluster
+}
+
+/// The wide job of that number gets a machine by a claim and is done. The first copy of the claim's write is carried out
+/// only after [`LATE`], when the claim has been released.
+fn claim_with_a_late_copy(cluster: &mut Cluster, id: u64) {
+    let arrived = cluster.effects("late write");
+    let put_off = cluster.effects("write put off");
+    cluster.faults.key_value.late_writes = Some(LateWrites {
+        share: 1.0,
+        delay: LATE,
+        key_prefix: Some("k/"),
+    });
+    let controller = cluster.leader();
+    cluster.submit(controller, &wide(id));
+    cluster.until("the claim's write", 60_000, |cluster| {
+        cluster.effects("write put off") > put_off
+    });
+    cluster.faults.key_value.late_writes = None;
+    cluster.until("the wide task", 300_000, |cluster| cluster.all_done(id, 1));
+    cluster.until("the late copy", 20_000, |cluster| {
+        cluster.effects("late write") > arrived
+    });
+}
+
+/// The wide job of that number gets a machine by a claim and is done, while most answers to writes of jobs' ends are lost,
+/// so that claims and ends wait for the same write.
+fn claim_beside_ends(cluster: &mut Cluster, id: u64) {
+    cluster.faults.key_value.late_writes = Some(LateWrites {
+        share: 0.4,
+        delay: DelayRange::NONE,
+        key_prefix: Some("f/"),
+    });
+    let controller = cluster.leader();
+    cluster.submit(controller, &wide(id));
+    cluster.until("the wide task", 300_000, |cluster| cluster.all_done(id, 1));
+    cluster.faults.key_value.late_writes = None;
+}
+
+// Guards against a job that is called done although its end was never written.
+#[test]
+fn a_claim_that_a_late_copy_brings_back_ends_no_job() {
+    let mut cluster = full_of_small_jobs();
+    for id in WIDE_JOBS {
+        claim_with_a_late_copy(&mut cluster, id);
+        claim_beside_ends(&mut cluster, id + WIDE_JOBS.end());
+    }
+    cluster.check();
+    cluster.until("the ends of all jobs", 300_000, |cluster| {
+        cluster.keys("j/").is_empty()
+    });
+    cluster.check();
+}
--- a/crates/worksshunt-core/tests/scenarios/combined_faults/requested.rs
+++ b/crates/worksshunt-core/tests/scenarios/combined_faults/requested.rs
@@ -98,6 +98,7 @@
         cluster.faults.key_value.late_writes = Some(LateWrites {
             share: 0.35,
             delay: DelayRange::NONE,
+            key_prefix: None,
         });
         for id in 1..=15 {
             cluster.send_submit(id as usize % 3, &job(id, 1 + id as u32 % 3));
@@ -271,6 +272,7 @@
                     min_ms: 2_000,
                     max_ms: 12_000,
                 },
+                key_prefix: None,
             });
             cluster.run(crash_ms);
             let leader = cluster.leader();
--- a/crates/worksshunt-core/tests/scenarios/combined_faults/users.rs
+++ b/crates/worksshunt-core/tests/scenarios/combined_faults/users.rs
@@ -69,6 +69,7 @@
                 min_ms: 2_000,
                 max_ms: 12_000,
             },
+            key_prefix: None,
         });
         for id in 1..=15 {
             cluster.send_submit(id as usize % 3, &job(id, 1 + id as u32 % 5));
@@ -184,6 +185,7 @@
                 min_ms: 0,
                 max_ms: 3_000,
             },
+            key_prefix: None,
         });
         let mut replies = Vec::new();
         for round in 0..40 {
--- a/crates/worksshunt-core/tests/scenarios/main.rs
+++ b/crates/worksshunt-core/tests/scenarios/main.rs
@@ -1,5 +1,6 @@
 //! Short scenarios about whole deployments on virtual time.
 
+mod claims;
 mod combined_faults;
 mod controllers;
 mod invariants;
--- a/crates/worksshunt-simulation/src/faults.rs
+++ b/crates/worksshunt-simulation/src/faults.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use worksshunt_wire::key_value::CompareAndSwap;
 use worksshunt_wire::{JobId, MachineId};
 
 use crate::links::SlowLinks;
@@ -33,6 +34,18 @@
     pub share: f64,
     /// How long after they were sent they are carried out.
     pub delay: DelayRange,
+    /// Only transactions that change a key with this prefix; none: all.
+    pub key_prefix: Option<&'static str>,
+}
+
+impl LateWrites {
+    /// Whether a transaction may be one of them.
+    pub(crate) fn applies_to(&self, write: &CompareAndSwap) -> bool {
+        self.key_prefix.is_none_or(|prefix| {
+            let mut changes = write.changes.iter();
+            changes.any(|change| change.key().starts_with(prefix))
+        })
+    }
 }
 
 /// Limits of the key-value store on transactions.
--- a/crates/worksshunt-simulation/src/key_value_service.rs
+++ b/crates/worksshunt-simulation/src/key_value_service.rs
@@ -103,9 +103,10 @@
         else {
             return false;
         };
-        if self.faults.key_value.down || self.rng.f64() >= late.share {
+        if !late.applies_to(write) || self.faults.key_value.down || self.rng.f64() >= late.share {
             return false;
         }
+        self.record_effect("write put off");
         let delay_ms = self.rng.u64(late.delay.min_ms..=late.delay.max_ms);
         let arrival = SimulationEvent::LateWriteArrives(write.clone());
         self.schedule_at(self.now + delay_ms, arrival);
--- a/crates/worksshunt-simulation/src/random_day/faults.rs
+++ b/crates/worksshunt-simulation/src/random_day/faults.rs
@@ -91,7 +91,11 @@
                 },
             };
             let share = 0.3;
-            cluster.faults.key_value.late_writes = Some(LateWrites { share, delay });
+            cluster.faults.key_value.late_writes = Some(LateWrites {
+                share,
+                delay,
+                key_prefix: None,
+            });
             end_after(cluster, draw.duration_ms, |faults| {
                 faults.key_value.late_writes = None;
             });
