Each final write is judged by its own key; a claim's key is never used twice

Cause: a conflict on any key that only this controller writes was read as proof that an earlier copy of the whole write had been applied. The key of a claim was put, deleted and put again within an epoch. A late copy of the first put restored it, the next claim on that machine conflicted although nothing of its write was applied, and jobs that ended in the same write were remembered as done and closed.

- A claim's key is k/MACHINE.EPOCH.NUMBER and is put once and deleted once, so its conflict proves that an earlier copy put it, and its deletion needs no condition.
- A conflict of final writes decides only what the failed keys belong to.
What is left stays pending.
- remember_final takes evidence: committed at a revision, or read at one.
- A job that the scheduler has closed and the store has open is scheduled again within seconds, with an error in the log.

--- a/crates/worksshunt-core/src/controller/final_state_lookups.rs
+++ b/crates/worksshunt-core/src/controller/final_state_lookups.rs
@@ -10,7 +10,7 @@
 
 use crate::constants::job_api::FINAL_STATES_CACHED;
 use crate::job_api::{final_state_response, resolve_without_final_state, HttpResponse, JobRequest};
-use crate::jobs::{final_state_key, read_final_state};
+use crate::jobs::{final_state_key, read_final_state, FinalStateEvidence};
 use crate::time::Time;
 
 use super::job_requests::STORE_SILENT;
@@ -85,7 +85,8 @@
             KvResponse::Found(pair) => {
                 lookups.answered(id);
                 if let Some(state) = read_final_state(&pair.value) {
-                    self.job_cache.remember_final(id, state);
+                    let evidence = FinalStateEvidence::Read(pair.version);
+                    self.job_cache.remember_final(id, state, evidence);
                 }
             }
             KvResponse::Missing => lookups.answered(id),
@@ -104,7 +105,9 @@
         let response = match response {
             KvResponse::Found(pair) => match read_final_state(&pair.value) {
                 Some(state) => {
-                    self.job_cache.remember_final(job_request.id, state);
+                    let evidence = FinalStateEvidence::Read(pair.version);
+                    self.job_cache
+                        .remember_final(job_request.id, state, evidence);
                     final_state_response(&job_request, state)
                 }
                 None => {
--- a/crates/worksshunt-core/src/controller/job_requests.rs
+++ b/crates/worksshunt-core/src/controller/job_requests.rs
@@ -13,7 +13,7 @@
     final_state_response, resolve, HttpResponse, JobApi, JobOperation, JobRequest, JobRequestStep,
     RequestId,
 };
-use crate::jobs::{JobCacheChange, OPEN_JOBS_PREFIX};
+use crate::jobs::{FinalStateEvidence, JobCacheChange, OPEN_JOBS_PREFIX};
 use crate::time::{Periodic, Time, TokenBucket};
 
 use super::accept_write::AcceptWrite;
@@ -217,9 +217,11 @@
         actions: &mut Vec<Action>,
     ) {
         match response {
-            KvResponse::Committed(_) => {
+            KvResponse::Committed(revision) => {
                 let id = job_request.id;
-                self.job_cache.remember_final(id, JobState::Cancelled);
+                let evidence = FinalStateEvidence::Committed(revision);
+                self.job_cache
+                    .remember_final(id, JobState::Cancelled, evidence);
                 self.apply_job_changes(now, vec![JobCacheChange::Closed(id)]);
                 let response = final_state_response(&job_request, JobState::Cancelled);
                 actions.push(Action::Respond(job_request.request_id, response));
--- a/crates/worksshunt-core/src/controller/leading.rs
+++ b/crates/worksshunt-core/src/controller/leading.rs
@@ -64,6 +64,9 @@
 
     /// Claims and frees machines for tasks that wait, once all partitions have reported.
     fn review_waiting_tasks(&mut self, now: Now, budget: &Budget) {
+        if self.leader_duties.waiting_tasks_timer.is_due(now.steady) {
+            self.reconcile_open_jobs();
+        }
         let store_silent = self.store_health.is_silent(now.steady);
         let Some(leader) = &mut self.leader else {
             return;
--- a/crates/worksshunt-core/src/controller/loading.rs
+++ b/crates/worksshunt-core/src/controller/loading.rs
@@ -11,7 +11,8 @@
 use crate::constants::timers::UNREADABLE_RECORDS_RETRY_MS;
 use crate::fleet::Fleet;
 use crate::jobs::{
-    final_state_key, read_cancelled, read_final_state, Job, COMPLETIONS_PREFIX, OPEN_JOBS_PREFIX,
+    final_state_key, read_cancelled, read_final_state, FinalStateEvidence, Job, COMPLETIONS_PREFIX,
+    OPEN_JOBS_PREFIX,
 };
 use crate::membership::MemberState;
 use crate::records::{RecordPage, UnknownRecordFormat, ATTEMPT_RECORDS_PREFIX};
@@ -244,7 +245,8 @@
     fn keep_final_state(&mut self, id: JobId, pair: &KeyValue) {
         let state = read_final_state(&pair.value);
         if let Some(state) = state {
-            self.job_cache.remember_final(id, state);
+            let evidence = FinalStateEvidence::Read(pair.version);
+            self.job_cache.remember_final(id, state, evidence);
         }
         if state != Some(JobState::Done) {
             // Final states of the release in production do not contain the job.
--- a/crates/worksshunt-core/src/controller/write_contents.rs
+++ b/crates/worksshunt-core/src/controller/write_contents.rs
@@ -6,15 +6,12 @@
 
 use crate::jobs::{final_state_key, final_state_value, open_job_key, Job};
 use crate::pages::PageWrite;
-use crate::scheduler::{claim_key, PendingWrite};
+use crate::scheduler::{ClaimWrite, PendingWrite};
 use crate::time::Time;
 
-use super::write_queues::{FinalWrite, HandledBatch};
+use super::write_queues::{ClaimChange, FinalWrite, HandledBatch, CHANGES_PER_JOB_END};
 use super::{Controller, WriteQueueId};
 
-/// Changes that the end of a job takes, which are the most that one final write takes.
-pub(super) const CHANGES_PER_JOB_END: usize = 2;
-
 /// The version of a key that does not exist.
 const MISSING: Revision = Revision(0);
 
@@ -92,21 +89,23 @@
         machine: MachineId,
         write: &mut CompareAndSwap,
     ) -> Option<FinalWrite> {
-        let key = claim_key(&machine);
-        let value = self.leader.as_ref()?.scheduler.claim_value(&machine);
-        let is_held = value.is_some();
-        write.changes.push(match value {
-            Some(value) => {
+        let change = match self.leader.as_ref()?.scheduler.claim_write(&machine)? {
+            ClaimWrite::Put { key, value } => {
                 write.expected.push(expect_missing(key.clone()));
-                Change::Put {
-                    key,
+                write.changes.push(Change::Put {
+                    key: key.clone(),
                     value,
                     lease: None,
-                }
+                });
+                ClaimChange::Put { key }
             }
-            None => Change::Delete { key },
-        });
-        Some(FinalWrite::UpdateClaim { machine, is_held })
+            // Without a condition: the key is never put again, so a late copy deletes nothing else.
+            ClaimWrite::Delete { key } => {
+                write.changes.push(Change::Delete { key });
+                ClaimChange::Delete
+            }
+        };
+        Some(FinalWrite::UpdateClaim { machine, change })
     }
 
     /// Adds writes that store jobs of one submission batch under their own keys, as many as the share allows.
--- a/crates/worksshunt-core/src/controller/write_outcomes.rs
+++ b/crates/worksshunt-core/src/controller/write_outcomes.rs
@@ -5,21 +5,22 @@
 use worksshunt_wire::{JobId, Revision};
 
 use crate::constants::key_value::{KV_RETRY_MS, MIN_TRANSACTION_CHANGES, MIN_VALUE_KIB};
-use crate::jobs::{is_submission_batch, job_of_key, open_job_key};
+use crate::jobs::{job_of_key, FinalStateEvidence};
 use crate::membership::EPOCH_KEY;
+use crate::scheduler::ClaimRecord;
 use crate::time::Time;
 
 use super::key_value_responses::RequestTimes;
-use super::write_queues::{FinalWrite, WriteQueues};
+use super::write_queues::{ClaimChange, FinalWrite, WriteQueues};
 use super::{call_store, Action, Controller, KvPurpose, KvRequest, KvResponse, WriteQueueId};
 
-/// The outcome of a write.
+/// What a response tells about the copy of a write that it answers.
 #[derive(Debug)]
 enum WriteOutcome {
-    /// It was applied, at that revision if it is known.
-    Applied(Option<Revision>),
-    /// It can never be applied: these keys have changed.
-    Refuted(Vec<String>),
+    /// It was committed at that revision.
+    Committed(Revision),
+    /// It was not applied and never can be: these keys have changed. Earlier copies may have been.
+    Conflict(Vec<String>),
     /// Not known, or not applied yet.
     Unclear,
 }
@@ -53,13 +54,14 @@
         queue.timer.schedule_retry(now, interval_ms);
         match outcome {
             WriteOutcome::Unclear => {}
-            WriteOutcome::Applied(revision) => {
+            WriteOutcome::Committed(revision) => {
                 let write = queue.in_flight.take();
-                self.write_applied(queue_id, revision, write, now);
+                self.write_committed(queue_id, revision, write, now);
             }
-            WriteOutcome::Refuted(failed_keys) => {
-                queue.in_flight = None;
-                self.write_refuted(queue_id, &failed_keys);
+            WriteOutcome::Conflict(failed_keys) => {
+                if let Some(write) = queue.in_flight.take() {
+                    self.write_conflicted(queue_id, &write, &failed_keys, now);
+                }
             }
         }
     }
@@ -69,42 +71,33 @@
         match response {
             KvResponse::Committed(revision) => {
                 self.membership.epoch_confirmed(times.sent_at);
-                WriteOutcome::Applied(Some(revision))
+                WriteOutcome::Committed(revision)
             }
             KvResponse::Conflict(failed) if failed.iter().any(|key| key == EPOCH_KEY) => {
                 self.read_control_keys_at(times.answered_at);
                 WriteOutcome::Unclear
             }
-            KvResponse::Conflict(failed) => {
-                // Nobody else writes an owner's pages, the leader's pages or its claims in its epoch, or handles
-                // submission batches: a copy of this write was applied before.
-                let is_own = |key: &String| is_submission_batch(key) || job_of_key(key).is_none();
-                if failed.iter().any(is_own) {
-                    WriteOutcome::Applied(None)
-                } else {
-                    WriteOutcome::Refuted(failed)
-                }
-            }
+            KvResponse::Conflict(failed) => WriteOutcome::Conflict(failed),
             _ => WriteOutcome::Unclear,
         }
     }
 
-    /// A write was applied, now or by an earlier copy.
-    fn write_applied(
+    /// A copy of a write was committed.
+    fn write_committed(
         &mut self,
         queue_id: WriteQueueId,
-        revision: Option<Revision>,
+        revision: Revision,
         write: Option<CompareAndSwap>,
         now: Time,
     ) {
         match queue_id {
-            WriteQueueId::AttemptRecords => self.partition.records_written(revision),
+            WriteQueueId::AttemptRecords => self.partition.records_written(Some(revision)),
             WriteQueueId::LeaderPages => {
                 if let Some(leader) = &mut self.leader {
-                    leader.scheduler.page_writes_applied(revision);
+                    leader.scheduler.page_writes_applied(Some(revision));
                 }
             }
-            WriteQueueId::FinalWrites => self.final_writes_applied(now),
+            WriteQueueId::FinalWrites => self.final_writes_committed(revision, now),
             // The job cache shows it later.
             WriteQueueId::SubmissionBatches => {
                 let opened = write.iter().flat_map(opened_jobs);
@@ -113,53 +106,29 @@
         }
     }
 
-    /// The final writes in flight are durable.
-    fn final_writes_applied(&mut self, now: Time) {
+    fn final_writes_committed(&mut self, revision: Revision, now: Time) {
         for final_write in std::mem::take(&mut self.write_queues.final_writes_in_flight) {
             let Some(leader) = &mut self.leader else {
                 return;
             };
             match final_write {
                 FinalWrite::FinishJob(id) => {
-                    tracing::debug!(job = %id, "job done");
-                    self.job_cache.remember_final(id, JobState::Done);
+                    let evidence = FinalStateEvidence::Committed(revision);
+                    self.job_cache.remember_final(id, JobState::Done, evidence);
                     leader.scheduler.close_job(id, now);
                 }
-                FinalWrite::UpdateClaim { machine, is_held } => {
-                    leader.scheduler.claim_written(&machine, is_held);
+                FinalWrite::UpdateClaim { machine, change } => {
+                    let record = match change {
+                        ClaimChange::Put { .. } => ClaimRecord::Committed(revision),
+                        ClaimChange::Delete => ClaimRecord::Deleted(revision),
+                    };
+                    leader.scheduler.claim_recorded(&machine, record);
                 }
                 FinalWrite::RemoveKey(key) => leader.scheduler.key_removed(&key),
             }
         }
     }
 
-    /// A write can never be applied, because these keys have changed.
-    fn write_refuted(&mut self, queue_id: WriteQueueId, failed_keys: &[String]) {
-        match queue_id {
-            WriteQueueId::FinalWrites => self.final_writes_refuted(failed_keys),
-            WriteQueueId::SubmissionBatches => {
-                self.write_queues.handled_batch = None;
-                let settled = failed_keys.iter().filter_map(|key| job_of_key(key));
-                self.write_queues.settled_jobs.extend(settled);
-            }
-            WriteQueueId::AttemptRecords | WriteQueueId::LeaderPages => {
-                tracing::error!(queue = ?queue_id, keys = ?failed_keys, "page write conflict");
-            }
-        }
-    }
-
-    /// A user cancelled a job meanwhile, or a copy of the write was applied before: the job cache will show it.
-    /// The other final writes are tried again.
-    fn final_writes_refuted(&mut self, failed_keys: &[String]) {
-        for final_write in std::mem::take(&mut self.write_queues.final_writes_in_flight) {
-            if let (FinalWrite::FinishJob(id), Some(leader)) = (final_write, &mut self.leader) {
-                if failed_keys.contains(&open_job_key(id)) {
-                    leader.scheduler.finish_refused(id);
-                }
-            }
-        }
-    }
-
     /// A write was larger than the key-value store takes, which it was not announced to be: its limits have
     /// fallen. What copies of the write have done is not known, so this controller becomes a new member, for
     /// whom they are void, and begins with what it reads.
--- a/crates/worksshunt-core/src/controller/write_queues.rs
+++ b/crates/worksshunt-core/src/controller/write_queues.rs
@@ -18,16 +18,30 @@
 use crate::time::{Periodic, Time, TokenBucket};
 
 use super::hedged_request::HedgedRequest;
-use super::write_contents::CHANGES_PER_JOB_END;
 use super::WriteQueueId;
 
+/// Changes that the end of a job takes, which are the most that one final write takes.
+pub(super) const CHANGES_PER_JOB_END: usize = 2;
+
+/// A change of a claim's record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum ClaimChange {
+    /// It is put under this key.
+    Put { key: String },
+    /// It is deleted.
+    Delete,
+}
+
 /// One of the final writes.
 #[derive(Debug, Clone)]
 pub(super) enum FinalWrite {
     /// A job is done.
     FinishJob(JobId),
-    /// A claim on a machine, held or released.
-    UpdateClaim { machine: MachineId, is_held: bool },
+    /// The record of a claim on a machine changes.
+    UpdateClaim {
+        machine: MachineId,
+        change: ClaimChange,
+    },
     /// A key of a former epoch is removed.
     RemoveKey(String),
 }
--- a/crates/worksshunt-core/src/jobs/job_cache.rs
+++ b/crates/worksshunt-core/src/jobs/job_cache.rs
@@ -14,6 +14,7 @@
 
 use crate::constants::job_api::{CLOSED_JOBS_CACHED, FINAL_STATES_CACHED};
 
+use super::final_state::{FinalStateEvidence, KnownFinalState};
 use super::stored::{parse_job_key, read_submission_batch};
 use super::{is_submission_batch, Job, OPEN_JOBS_PREFIX};
 
@@ -55,7 +56,7 @@
     unreadable: BTreeSet<JobId>,
     /// Store revision that the cache is current at; `None` until it is loaded.
     revision: Option<Revision>,
-    final_states: HashMap<JobId, JobState>,
+    final_states: HashMap<JobId, KnownFinalState>,
     /// The jobs of `final_states`, the oldest entry first.
     final_states_order: VecDeque<JobId>,
     /// Jobs that were open here and are closed, the latest last.
@@ -115,14 +116,28 @@
 
     /// The final state of a job, if it is in the cache.
     pub fn final_state(&self, id: JobId) -> Option<JobState> {
-        self.final_states.get(&id).copied()
+        self.final_states.get(&id).map(|known| known.state)
+    }
+
+    /// Whether a final state is in the cache that the cached open jobs are too old to show.
+    pub fn is_closed_later(&self, id: JobId) -> bool {
+        let known = self.final_states.get(&id);
+        known.is_some_and(|known| Some(known.evidence.revision()) > self.revision)
+    }
+
+    /// Removes a final state that the store does not have, if it is in the cache.
+    pub fn forget_final(&mut self, id: JobId) -> Option<KnownFinalState> {
+        self.final_states_order.retain(|known| *known != id);
+        self.final_states.remove(&id)
     }
 
     /// Adds a final state to the cache. It never changes, so it may be evicted at any time.
-    pub fn remember_final(&mut self, id: JobId, state: JobState) {
-        if self.final_states.insert(id, state).is_some() {
+    pub fn remember_final(&mut self, id: JobId, state: JobState, evidence: FinalStateEvidence) {
+        let known = KnownFinalState { state, evidence };
+        if self.final_states.insert(id, known).is_some() {
             return;
         }
+        tracing::debug!(job = %id, ?state, ?evidence, "final state known");
         self.final_states_order.push_back(id);
         if self.final_states_order.len() > FINAL_STATES_CACHED {
             if let Some(oldest) = self.final_states_order.pop_front() {
--- a/crates/worksshunt-core/src/jobs/mod.rs
+++ b/crates/worksshunt-core/src/jobs/mod.rs
@@ -14,6 +14,7 @@
 //! and shared by all of them.
 
 mod completions;
+mod final_state;
 mod job;
 mod job_cache;
 mod stored;
@@ -21,6 +22,7 @@
 pub use completions::{
     completions_key, read_completions, CompletedTasks, Completions, CompletionsKey,
 };
+pub use final_state::{FinalStateEvidence, KnownFinalState};
 pub use job::Job;
 pub use job_cache::{JobCache, JobCacheChange, OpenJob, SubmissionBatch};
 pub use stored::{
--- a/crates/worksshunt-core/src/scheduler/claims.rs
+++ b/crates/worksshunt-core/src/scheduler/claims.rs
@@ -1,6 +1,9 @@
 //! Claims: machines that the leader takes out of their partitions, by a conditional write, for tasks that
 //! find free resources in no partition.
 //!
+//! Each claim has a key of its own, which is put once and deleted once. If the keys were the machines' alone, a late
+//! copy of a claim's write could restore a key that the next claim on the machine expects to be missing.
+//!
 //! The leading controller calls [`Scheduler::claim_machines`] on a timer and reports the writes' results;
 //! `placement_targets` sends the claiming job's tasks to the claimed machines.
 
@@ -9,7 +12,7 @@
 
 use serde_json::Value;
 use worksshunt_wire::peer::MachineStatus;
-use worksshunt_wire::{JobId, MachineId};
+use worksshunt_wire::{Epoch, JobId, MachineId, Revision};
 
 use crate::constants::scheduling::{CLAIM_AFTER_MS, CLAIM_MACHINE_DIVISOR, MIN_CLAIMS};
 use crate::jobs::Job;
@@ -20,9 +23,37 @@
 /// Prefix of the leader's claims on machines.
 pub const CLAIMS_PREFIX: &str = "k/";
 
-/// Key of a claim.
-pub fn claim_key(machine: &MachineId) -> String {
-    format!("{CLAIMS_PREFIX}{machine}")
+/// Key of a claim. Within an epoch no `number` is used twice, so no key is either.
+pub fn claim_key(machine: &MachineId, epoch: Epoch, number: u64) -> String {
+    format!("{CLAIMS_PREFIX}{machine}.{epoch}.{number}")
+}
+
+/// What a leader has learnt about a claim's record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClaimRecord {
+    /// Its write was committed at that revision.
+    Committed(Revision),
+    /// A write of it found its key there, so an earlier copy was committed.
+    Exists,
+    /// Its deletion was committed at that revision.
+    Deleted(Revision),
+}
+
+/// What is to be written of a claim.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ClaimWrite {
+    /// Its record.
+    Put {
+        /// Its key.
+        key: String,
+        /// The record.
+        value: Value,
+    },
+    /// The deletion of its record.
+    Delete {
+        /// Its key.
+        key: String,
+    },
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,6 +70,8 @@
 pub(super) struct Claim {
     job: JobId,
     state: ClaimState,
+    /// Its number within the epoch.
+    number: u64,
 }
 
 /// A machine that may be claimed.
@@ -61,8 +94,13 @@
         }
         for (machine, job) in self.choose_claims(&stuck, free_claims) {
             tracing::debug!(%job, %machine, "machine claim requested");
-            let state = ClaimState::BeingWritten;
-            self.claims.insert(machine.clone(), Claim { job, state });
+            let claim = Claim {
+                job,
+                state: ClaimState::BeingWritten,
+                number: self.next_claim,
+            };
+            self.next_claim += 1;
+            self.claims.insert(machine.clone(), claim);
             self.pending_writes
                 .insert(PendingWrite::UpdateClaim(machine));
         }
@@ -145,12 +183,7 @@
     }
 
     fn is_claimable(&self, machine: &MachineStatus) -> bool {
-        let former_claim = || PendingWrite::RemoveKey(claim_key(&machine.id));
-        machine.schedulable
-            && !machine.reclaim_notice
-            && !self.claims.contains_key(&machine.id)
-            // A former leader's claim has to be removed first.
-            && !self.pending_writes.contains(&former_claim())
+        machine.schedulable && !machine.reclaim_notice && !self.claims.contains_key(&machine.id)
     }
 
     /// Processors of the smallest task on each machine that has any.
@@ -234,28 +267,41 @@
         }
     }
 
-    /// A claim's value as it should be stored; none: remove it.
-    pub fn claim_value(&self, machine: &MachineId) -> Option<Value> {
+    /// What is to be written of the claim on a machine; none if there is no claim.
+    pub fn claim_write(&self, machine: &MachineId) -> Option<ClaimWrite> {
         let claim = self.claims.get(machine)?;
-        (claim.state == ClaimState::BeingWritten)
-            .then(|| serde_json::json!({ "job": claim.job, "epoch": self.epoch }))
+        let key = claim_key(machine, self.epoch, claim.number);
+        Some(match claim.state {
+            ClaimState::BeingWritten => ClaimWrite::Put {
+                key,
+                value: serde_json::json!({ "job": claim.job, "epoch": self.epoch }),
+            },
+            ClaimState::Held | ClaimState::Releasing => ClaimWrite::Delete { key },
+        })
     }
 
-    /// A claim (`is_held`), or its removal, is durable.
-    pub fn claim_written(&mut self, machine: &MachineId, is_held: bool) {
-        match self.claims.get_mut(machine) {
-            Some(claim) if is_held && claim.state == ClaimState::BeingWritten => {
-                claim.state = ClaimState::Held;
-                self.pending_writes
-                    .remove(&PendingWrite::UpdateClaim(machine.clone()));
-            }
-            // Released while it was being written: its removal is still due.
-            Some(_) if is_held => {}
-            _ => {
+    /// Something was learnt about the record of the claim on a machine.
+    pub fn claim_recorded(&mut self, machine: &MachineId, record: ClaimRecord) {
+        let Some(claim) = self.claims.get_mut(machine) else {
+            return;
+        };
+        tracing::debug!(%machine, job = %claim.job, number = claim.number, ?record, "claim record learnt");
+        match (record, claim.state) {
+            (ClaimRecord::Deleted(_), _) => {
                 self.claims.remove(machine);
-                self.pending_writes
-                    .remove(&PendingWrite::UpdateClaim(machine.clone()));
+                self.claim_settled(machine);
             }
+            (_, ClaimState::BeingWritten) => {
+                claim.state = ClaimState::Held;
+                self.claim_settled(machine);
+            }
+            // Released while it was being written: its deletion is still due.
+            (_, ClaimState::Held | ClaimState::Releasing) => {}
         }
     }
+
+    fn claim_settled(&mut self, machine: &MachineId) {
+        self.pending_writes
+            .remove(&PendingWrite::UpdateClaim(machine.clone()));
+    }
 }
--- a/crates/worksshunt-core/src/scheduler/loading.rs
+++ b/crates/worksshunt-core/src/scheduler/loading.rs
@@ -87,6 +87,7 @@
                 .map(|name| (name.clone(), PartitionView::default()))
                 .collect(),
             claims: BTreeMap::new(),
+            next_claim: 0,
             round: SchedulingRound::default(),
             pending_writes: BTreeSet::new(),
             pages: StoredPages::new(&facts.state),
--- a/crates/worksshunt-core/src/scheduler/mod.rs
+++ b/crates/worksshunt-core/src/scheduler/mod.rs
@@ -44,7 +44,7 @@
 use active_attempt::ActiveAttempt;
 use attempt_numbers::AttemptNumbers;
 use claims::Claim;
-pub use claims::{claim_key, CLAIMS_PREFIX};
+pub use claims::{claim_key, ClaimRecord, ClaimWrite, CLAIMS_PREFIX};
 pub use demand::Demand;
 use demand::DemandHistory;
 pub use forecast::{ExpectedDemand, Forecast};
@@ -70,6 +70,8 @@
     /// The members' partitions, by owner.
     partitions: BTreeMap<ControllerName, PartitionView>,
     claims: BTreeMap<MachineId, Claim>,
+    /// Number of the next claim of this epoch.
+    next_claim: u64,
     round: SchedulingRound,
     pending_writes: BTreeSet<PendingWrite>,
     pages: StoredPages,
@@ -104,6 +106,17 @@
         self.round.request();
     }
 
+    /// Whether it has the job.
+    pub fn has_job(&self, id: JobId) -> bool {
+        self.jobs.contains_key(&id)
+    }
+
+    /// Whether attempts at the job's tasks may be on machines, ended or not.
+    pub fn has_attempts_of(&self, id: JobId) -> bool {
+        let mut attempts = self.active_attempts.values();
+        attempts.any(|active| active.task.job == id)
+    }
+
     /// A job is over.
     pub fn close_job(&mut self, id: JobId, now: Time) {
         let Some(closed) = self.jobs.remove(&id) else {
--- a/crates/worksshunt-core/tests/scenarios/jobs.rs
+++ b/crates/worksshunt-core/tests/scenarios/jobs.rs
@@ -232,3 +232,27 @@
         200
     );
 }
+
+// Guards against a job on which nobody works for the rest of an epoch, because the leader takes it for over and the
+// store does not. A store that forgets a committed write stands for any cause.
+#[test]
+fn a_job_that_the_leader_has_closed_and_the_store_has_not_is_served_again() {
+    let mut cluster = ready();
+    cluster.faults.key_value.forgets = Some("f/");
+    cluster.submit(0, &job(1, 3));
+    cluster.until("a false end", 60_000, |cluster| {
+        cluster.effects("write forgotten") > 0
+    });
+    assert!(cluster.stored("f/j-000001").is_none());
+    let leader = cluster.leader();
+    cluster.faults.key_value.forgets = None;
+    let epoch = cluster.epoch();
+    cluster.until("its end", 30_000, |cluster| {
+        cluster.stored("f/j-000001").is_some()
+    });
+    assert_eq!(cluster.epoch(), epoch);
+    for controller in [leader, (leader + 1) % 3] {
+        assert_eq!(cluster.state(controller, 1), (200, "done".into()));
+    }
+    cluster.check();
+}
--- a/crates/worksshunt-simulation/src/faults.rs
+++ b/crates/worksshunt-simulation/src/faults.rs
@@ -41,13 +41,17 @@
 impl LateWrites {
     /// Whether a transaction may be one of them.
     pub(crate) fn applies_to(&self, write: &CompareAndSwap) -> bool {
-        self.key_prefix.is_none_or(|prefix| {
-            let mut changes = write.changes.iter();
-            changes.any(|change| change.key().starts_with(prefix))
-        })
+        self.key_prefix
+            .is_none_or(|prefix| changes_key(write, prefix))
     }
 }
 
+/// Whether a transaction changes a key with the prefix.
+pub(crate) fn changes_key(write: &CompareAndSwap, prefix: &str) -> bool {
+    let mut changes = write.changes.iter();
+    changes.any(|change| change.key().starts_with(prefix))
+}
+
 /// Limits of the key-value store on transactions.
 #[derive(Debug, Clone, Copy)]
 pub struct KeyValueLimits {
@@ -83,6 +87,9 @@
     pub slow_writes_ms: u64,
     /// Transactions without a response.
     pub late_writes: Option<LateWrites>,
+    /// Transactions that change a key with this prefix are answered as committed and not applied: a fault that no
+    /// key-value store should have.
+    pub forgets: Option<&'static str>,
     /// Every response takes so much longer.
     pub slow_responses_ms: u64,
     /// Limits on transactions; none: unlimited.
@@ -99,6 +106,7 @@
             && self.hold_writes.is_empty()
             && self.slow_writes_ms == 0
             && self.late_writes.is_none()
+            && self.forgets.is_none()
             && self.slow_responses_ms == 0
             && self.limits.is_none()
     }
--- a/crates/worksshunt-simulation/src/key_value_service.rs
+++ b/crates/worksshunt-simulation/src/key_value_service.rs
@@ -7,7 +7,7 @@
 use worksshunt_wire::Revision;
 
 use crate::events::{KeyValueCaller, SimulationEvent};
-use crate::faults::KeyValueLimits;
+use crate::faults::{changes_key, KeyValueLimits};
 use crate::key_value_store::Store;
 use crate::links::Link;
 use crate::Cluster;
@@ -139,6 +139,9 @@
             } else if self.is_too_large(&request) {
                 self.too_large += 1;
                 KvResponse::TooLarge
+            } else if self.is_forgotten(&request) {
+                self.record_effect("write forgotten");
+                KvResponse::Committed(Revision(self.revision()))
             } else {
                 self.key_value.store.apply(self.now, &request)
             };
@@ -152,6 +155,14 @@
         self.wake_watches();
     }
 
+    /// Whether a transaction is answered as committed and not applied.
+    fn is_forgotten(&self, request: &KvRequest) -> bool {
+        match (request, self.faults.key_value.forgets) {
+            (KvRequest::CompareAndSwap(write), Some(prefix)) => changes_key(write, prefix),
+            _ => false,
+        }
+    }
+
     fn is_too_large(&self, request: &KvRequest) -> bool {
         match (request, self.faults.key_value.limits) {
             (KvRequest::CompareAndSwap(write), Some(limits)) => exceeds(write, limits),
