Reproduction of a fleet that is scaled in while more than a limit's worth of jobs is starved, failing

The scenario (40 wide jobs, no capacity for 130 s, then ten machines) fails: the jobs are not served within 90 s.

--- a/crates/worksshunt-core/tests/scenarios/placement.rs
+++ b/crates/worksshunt-core/tests/scenarios/placement.rs
@@ -224,3 +224,24 @@
     assert!(urgent > 80, "the urgent work went on");
     cluster.check();
 }
+
+// Seen in the search for broken rules: with hundreds of jobs open and no machine, nothing was provisioned any more, and
+// the last machines were released as idle. Every job that has waited for too long reserves the resources of a task
+// within its team's limit; the demand that the fleet scales by was counted beside these reservations, so from a limit's
+// worth of such jobs on there was none.
+#[test]
+fn jobs_that_have_waited_too_long_for_more_than_their_teams_limit_get_machines() {
+    let mut cluster = ready();
+    cluster.capacity = 0;
+    for id in 1..=40 {
+        let mut wide = job(id, 1);
+        wide["Cores"] = json!(4.0);
+        assert_eq!(cluster.submit(id as usize % 3, &wide).status, 201);
+    }
+    cluster.run(130_000);
+    cluster.capacity = 10;
+    cluster.until("the ends of all jobs", 90_000, |cluster| {
+        cluster.keys("j/").is_empty()
+    });
+    cluster.check();
+}
