Demand is counted without the reservations for starved jobs

Cause: each job that has waited too long reserves a task's resources within its team's limit. The fleet's demand was counted beside these reservations, so from a limit's worth of starved jobs on it was zero: idle machines were released, none was provisioned, and without machines nothing was dispatched that would have ended the reservations.

--- a/crates/worksshunt-core/src/scheduler/demand.rs
+++ b/crates/worksshunt-core/src/scheduler/demand.rs
@@ -82,6 +82,9 @@
     /// Open jobs in order of service, with as many waiting tasks as the teams' limits let run.
     pub fn demand(&self, now: Now) -> Vec<Demand> {
         let mut quota = self.quota.clone();
+        // What is reserved for starved jobs is their own demand: counted beside it, a limit's worth of them would leave
+        // no demand at all, and the fleet would be scaled in while they wait.
+        quota.clear_reservations();
         let running_by_job = self.running_tasks(now.steady);
         let has_spot = self.has_spot_machines(now.steady);
         let reserves_on_demand = self.reserves_on_demand_machines(now.steady);
