--- a/crates/worksshunt-core/src/controller/write_outcomes.rs
+++ b/crates/worksshunt-core/src/controller/write_outcomes.rs
@@ -106,7 +106,7 @@
         }
     }
 
-    fn final_writes_committed(&mut self, revision: Revision, now: Time) {
+    pub(super) fn final_writes_committed(&mut self, revision: Revision, now: Time) {
         for final_write in std::mem::take(&mut self.write_queues.final_writes_in_flight) {
             let Some(leader) = &mut self.leader else {
                 return;
--- a/crates/worksshunt-search/src/mutation.rs
+++ b/crates/worksshunt-search/src/mutation.rs
@@ -18,6 +18,21 @@
     pub from: String,
     /// The replacement.
     pub to: String,
+    /// What it replaces in other files, where the fault takes more than one change.
+    #[serde(default)]
+    pub also: Vec<Edit>,
+}
+
+/// A replacement in one file.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Edit {
+    /// The file, from the root of the repository.
+    pub file: PathBuf,
+    /// The text that is replaced, which occurs once in the file.
+    pub from: String,
+    /// The replacement.
+    pub to: String,
 }
 
 #[derive(Deserialize)]
@@ -61,21 +76,31 @@
 }
 
 impl Mutation {
-    /// The file's text with the mutation applied.
+    /// All its replacements, each in another file.
+    pub fn edits(&self) -> Vec<Edit> {
+        let first = Edit {
+            file: self.file.clone(),
+            from: self.from.clone(),
+            to: self.to.clone(),
+        };
+        std::iter::once(first).chain(self.also.clone()).collect()
+    }
+
+    /// A file's text with one of its replacements applied.
     ///
     /// # Errors
     ///
     /// The text to replace does not occur exactly once.
-    pub fn apply(&self, text: &str) -> Result<String, MutationError> {
-        let times = text.matches(&self.from).count();
+    pub fn apply(&self, edit: &Edit, text: &str) -> Result<String, MutationError> {
+        let times = text.matches(&edit.from).count();
         if times != 1 {
             return Err(MutationError::NotOnce {
                 name: self.name.clone(),
-                file: self.file.clone(),
+                file: edit.file.clone(),
                 times,
             });
         }
-        Ok(text.replacen(&self.from, &self.to, 1))
+        Ok(text.replacen(&edit.from, &edit.to, 1))
     }
 }
 
--- a/crates/worksshunt-search/src/mutation/tests.rs
+++ b/crates/worksshunt-search/src/mutation/tests.rs
@@ -18,9 +18,13 @@
     let list = list();
     assert!(list.len() > 10);
     for mutation in &list {
-        let text = std::fs::read_to_string(root().join(&mutation.file)).expect("a file");
-        let mutated = mutation.apply(&text).expect("applies");
-        assert_ne!(text, mutated, "{}", mutation.name);
+        for edit in mutation.edits() {
+            let text = std::fs::read_to_string(root().join(&edit.file)).expect("a file");
+            let mutated = mutation.apply(&edit, &text).expect("applies");
+            assert_ne!(text, mutated, "{}", mutation.name);
+        }
+        let files: BTreeSet<PathBuf> = mutation.edits().into_iter().map(|e| e.file).collect();
+        assert_eq!(files.len(), mutation.edits().len(), "each in another file");
     }
     let names: BTreeSet<&str> = list.iter().map(|m| m.name.as_str()).collect();
     assert_eq!(names.len(), list.len(), "each has a name of its own");
@@ -33,9 +37,10 @@
         to: "a".to_owned(),
         ..list().remove(0)
     };
-    assert_eq!(mutation.apply("x = a + b").expect("once"), "x = a");
+    let edit = &mutation.edits()[0];
+    assert_eq!(mutation.apply(edit, "x = a + b").expect("once"), "x = a");
     for text in ["", "a+b", "a + b; a + b"] {
-        let refused = mutation.apply(text);
+        let refused = mutation.apply(edit, text);
         assert!(
             matches!(refused, Err(MutationError::NotOnce { .. })),
             "{text}"
--- a/crates/worksshunt-search/src/search.rs
+++ b/crates/worksshunt-search/src/search.rs
@@ -63,11 +63,19 @@
     seeds: &SeedRange,
     starts: u64,
 ) -> Result<MutationResult, SearchError> {
-    let original = scratch.read(&mutation.file)?;
-    let mutated = mutation.apply(&original)?;
-    scratch.write(&mutation.file, &mutated)?;
+    let mut originals = Vec::new();
+    for edit in mutation.edits() {
+        let original = scratch.read(&edit.file)?;
+        let mutated = mutation.apply(&edit, &original)?;
+        originals.push((edit.file, original, mutated));
+    }
+    for (file, _, mutated) in &originals {
+        scratch.write(file, mutated)?;
+    }
     let searched = search_built(scratch, seeds, starts);
-    scratch.write(&mutation.file, &original)?;
+    for (file, original, _) in &originals {
+        scratch.write(file, original)?;
+    }
     Ok(MutationResult {
         mutation: mutation.name.clone(),
         searched: searched?,
--- a/crates/worksshunt-simulation/src/random_day.rs
+++ b/crates/worksshunt-simulation/src/random_day.rs
@@ -2,6 +2,7 @@
 //!
 //! The search for violations, the digests and the scenario `mixed` play them.
 
+mod contended;
 mod faults;
 
 use std::ops::Range;
@@ -16,6 +17,9 @@
 /// How long a day goes on after the last new fault, ms; faults end by themselves in that time.
 const FADE_OUT_MS: u64 = 62_000;
 
+/// Steps of a day to each fault, on average.
+const STEPS_PER_FAULT: u32 = 3;
+
 /// The random numbers of one day.
 struct DayRng(fastrand::Rng);
 
@@ -98,18 +102,31 @@
     let mut rng = DayRng(fastrand::Rng::with_seed(seed));
     let mut cluster = random_cluster(seed, &mut rng);
     cluster.digest = digest;
+    let is_contended = contended::is_contended(seed);
+    if is_contended {
+        contended::configure(&mut cluster, &mut rng);
+    }
     cluster.run(START_MS);
     let ends_at = cluster.now + rng.ms(40_000..120_000);
     let mut last_id = 0;
     while cluster.now < ends_at {
-        for _ in 0..rng.0.usize(0..3) {
-            last_id += 1;
-            submit(&mut cluster, &mut rng, last_id);
+        if is_contended {
+            last_id = contended::submit(&mut cluster, &mut rng, last_id);
+            contended::delay_writes(&mut cluster, &mut rng);
+        } else {
+            for _ in 0..rng.0.usize(0..3) {
+                last_id += 1;
+                submit(&mut cluster, &mut rng, last_id);
+            }
         }
         if last_id > 0 {
             query(&mut cluster, &mut rng, last_id);
         }
-        if rng.0.u32(0..3) == 0 {
+        let steps_per_fault = match is_contended {
+            true => contended::STEPS_PER_FAULT,
+            false => STEPS_PER_FAULT,
+        };
+        if rng.0.u32(0..steps_per_fault) == 0 {
             faults::inject(&mut cluster, &mut rng);
         }
         let ms = rng.ms(50..1_800);
--- a/crates/worksshunt-simulation/src/verdict.rs
+++ b/crates/worksshunt-simulation/src/verdict.rs
@@ -1,8 +1,10 @@
 //! The cluster's regular inspections of itself, and the verdict at the end of a simulated day.
 
+use std::collections::BTreeMap;
+
 use worksshunt_wire::user::{JobKind, JobSpec};
 use worksshunt_wire::worker::TaskState;
-use worksshunt_wire::MachineId;
+use worksshunt_wire::{JobId, MachineId};
 
 use crate::events::SimulationEvent;
 use crate::invariants::{FreeCapacity, WaitingCheck};
@@ -30,9 +32,7 @@
             invariants.check_cancelled(self.now, &self.observed_tasks());
         }
         if self.now.is_multiple_of(WAITING_CHECK_INTERVAL_MS) {
-            // The invariants are taken out of the cluster at this point, so the jobs' specs are unknown to
-            // `free_capacity`: each task counts for one processor, and no job is known to be a service.
-            let free_capacity = self.free_capacity();
+            let free_capacity = self.free_capacity(&invariants.jobs);
             invariants.check_waiting(&WaitingCheck {
                 now: self.now,
                 is_undisturbed: self.faults.none() && self.controllers.are_all_active(),
@@ -44,10 +44,10 @@
         self.invariants = invariants;
     }
 
-    /// Free capacity of machines that no fault concerns.
-    fn free_capacity(&self) -> Vec<FreeCapacity<'_>> {
+    /// Free capacity of machines that no fault concerns, given the specs of all jobs.
+    fn free_capacity(&self, jobs: &BTreeMap<JobId, JobSpec>) -> Vec<FreeCapacity<'_>> {
         let is_service = |spec: &JobSpec| spec.kind == JobKind::Service;
-        let any_service = self.invariants.jobs.values().any(is_service);
+        let any_service = jobs.values().any(is_service);
         let workers = self.workers.iter();
         workers
             .filter(|(id, worker)| self.is_undisturbed(id, worker))
@@ -56,7 +56,7 @@
             .map(|(_, worker)| FreeCapacity {
                 zone: &worker.zone,
                 spot: worker.spot,
-                cpus: self.free_cpus(worker),
+                cpus: free_cpus(worker, jobs),
             })
             .collect()
     }
@@ -75,14 +75,6 @@
             && !disturbed.iter().any(|machines| machines.contains(id))
     }
 
-    fn free_cpus(&self, worker: &Worker) -> f64 {
-        let spec = |task: &Task| self.invariants.jobs.get(&task.task.job);
-        let cpus = |task: &Task| spec(task).map_or(1.0, |spec| spec.cpus);
-        let tasks = worker.tasks.values();
-        let on_machine = tasks.filter(|task| task.state != TaskState::Ended);
-        (MACHINE_CPUS - on_machine.map(cpus).sum::<f64>()).max(0.0)
-    }
-
     /// Ends the day and fails the test if an invariant was violated. If no fault is left, requests about all
     /// accepted jobs are answered by every controller.
     ///
@@ -134,3 +126,12 @@
         self.judge()
     }
 }
+
+/// Processors of a machine that its tasks leave free.
+fn free_cpus(worker: &Worker, jobs: &BTreeMap<JobId, JobSpec>) -> f64 {
+    let spec = |task: &Task| jobs.get(&task.task.job);
+    let cpus = |task: &Task| spec(task).map_or(1.0, |spec| spec.cpus);
+    let tasks = worker.tasks.values();
+    let on_machine = tasks.filter(|task| task.state != TaskState::Ended);
+    (MACHINE_CPUS - on_machine.map(cpus).sum::<f64>()).max(0.0)
+}
