Three circles between files are broken: final state lookups, write queues, partitions

STORE_SILENT stands with the store's outages; the waiting assignments and the pending updates of a partition are types in files of their own, below the code that places and sends them.

--- a/crates/worksshunt-core/src/controller/final_state_lookups.rs
+++ b/crates/worksshunt-core/src/controller/final_state_lookups.rs
@@ -13,7 +13,7 @@
 use crate::jobs::{final_state_key, read_final_state, FinalStateEvidence};
 use crate::time::Time;
 
-use super::job_requests::STORE_SILENT;
+use super::store_outage::STORE_SILENT;
 use super::{call_store, Action, Controller, KvPurpose, KvRequest, KvResponse};
 
 /// Lookups that were put off.
--- a/crates/worksshunt-core/src/controller/job_requests.rs
+++ b/crates/worksshunt-core/src/controller/job_requests.rs
@@ -19,11 +19,9 @@
 use super::accept_write::AcceptWrite;
 use super::final_state_lookups::FinalStateLookups;
 use super::key_value_responses::RequestTimes;
+use super::store_outage::STORE_SILENT;
 use super::{call_store, Action, Controller, KvPurpose, KvRequest, KvResponse};
 
-/// Error text of the responses during an outage of the key-value store, which users know as the state service.
-pub(super) const STORE_SILENT: &str = "the state service does not answer";
-
 /// Users' requests, and the requests to the key-value store that serve them.
 #[derive(Debug)]
 pub(super) struct JobApiState {
--- a/crates/worksshunt-core/src/controller/store_outage.rs
+++ b/crates/worksshunt-core/src/controller/store_outage.rs
@@ -17,6 +17,9 @@
 
 use super::{Action, Controller};
 
+/// Error text of the responses during an outage of the key-value store, which users know as the state service.
+pub(super) const STORE_SILENT: &str = "the state service does not answer";
+
 /// What this controller knows of the key-value store's health.
 #[derive(Debug, Default)]
 pub(super) struct StoreHealth {
--- a/crates/worksshunt-core/src/controller/submissions.rs
+++ b/crates/worksshunt-core/src/controller/submissions.rs
@@ -8,7 +8,7 @@
 use crate::submissions::{check_possible, parse, Malformed, RefusedSubmission};
 use crate::time::{Now, Time};
 
-use super::job_requests::STORE_SILENT;
+use super::store_outage::STORE_SILENT;
 use super::{Action, Controller};
 
 impl Controller {
--- a/crates/worksshunt-core/src/machines/loading.rs
+++ b/crates/worksshunt-core/src/machines/loading.rs
@@ -18,7 +18,7 @@
 use super::attempt::{AttemptState, TrackedAttempt};
 use super::machine::{LeaderDirective, Machine, MachineSummary};
 use super::partition::Partition;
-use super::partition_sync::PendingUpdates;
+use super::pending_updates::PendingUpdates;
 
 /// What a partition starts an epoch with.
 #[derive(Debug, Clone, Copy)]
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -21,6 +21,8 @@
 mod machine;
 mod partition;
 mod partition_sync;
+mod pending_updates;
+mod queued_placement;
 mod reachability;
 mod sequence_number;
 mod task_status;
--- a/crates/worksshunt-core/src/machines/partition.rs
+++ b/crates/worksshunt-core/src/machines/partition.rs
@@ -20,7 +20,7 @@
 use super::attempt::{AttemptState, TrackedAttempt};
 use super::heartbeat_history::HeartbeatHistory;
 use super::machine::{Machine, MachineSummary, MachineTimeouts};
-use super::partition_sync::PendingUpdates;
+use super::pending_updates::PendingUpdates;
 
 /// Order in which machines are tried for a task: the most utilized first, equals by name.
 type UtilizationRank = (Reverse<u64>, MachineId);
--- a/crates/worksshunt-core/src/machines/partition_sync.rs
+++ b/crates/worksshunt-core/src/machines/partition_sync.rs
@@ -1,93 +1,21 @@
 //! The exchange between a partition's owner and the leader.
 //!
 //! The owner sends a [`PartitionStatus`] with what changed since the leader last confirmed, and the leader answers with
-//! [`LeaderDirectives`]. [`PendingUpdates`] holds what the leader does not know yet; it belongs to the partition, all
-//! modules of which add to it.
+//! [`LeaderDirectives`]. What the leader does not know yet is in `pending_updates`.
 
 use std::collections::BTreeSet;
 
 use worksshunt_wire::peer::{
-    AttemptEnded, AttemptStatus, LeaderDirectives, MachineDirectives, MachineStatus,
-    PartitionStatus,
+    AttemptStatus, LeaderDirectives, MachineDirectives, MachineStatus, PartitionStatus,
 };
 use worksshunt_wire::{Attempt, ControllerName, Epoch, MachineId};
 
-use crate::constants::partition_sync::{SYNC_MAX_CHANGES, SYNC_MAX_MACHINES};
 use crate::time::Time;
 
 use super::attempt::AttemptState;
 use super::machine::{LeaderDirective, Machine};
 use super::partition::Partition;
 
-/// What the leader does not know yet, and what is in flight to it.
-#[derive(Debug, Default)]
-pub(super) struct PendingUpdates {
-    pub machines: BTreeSet<MachineId>,
-    pub removed_machines: BTreeSet<MachineId>,
-    pub attempts: BTreeSet<Attempt>,
-    pub ended_attempts: Vec<AttemptEnded>,
-    /// Number of the last status sent.
-    sequence: u64,
-    /// Number of the last directives applied.
-    acknowledged: u64,
-    /// The updates in the status that is in flight.
-    in_flight: Option<UpdateBatch>,
-}
-
-/// The updates that go into one status.
-#[derive(Debug, Default)]
-struct UpdateBatch {
-    machines: BTreeSet<MachineId>,
-    removed_machines: BTreeSet<MachineId>,
-    attempts: BTreeSet<Attempt>,
-    ended_attempts: Vec<AttemptEnded>,
-}
-
-/// Takes the first entries out of a set, at most `limit`.
-fn take_first<T: Ord>(set: &mut BTreeSet<T>, limit: usize) -> BTreeSet<T> {
-    if set.len() <= limit {
-        return std::mem::take(set);
-    }
-    let mut first = BTreeSet::new();
-    while first.len() < limit {
-        let Some(entry) = set.pop_first() else { break };
-        first.insert(entry);
-    }
-    first
-}
-
-impl PendingUpdates {
-    fn is_empty(&self) -> bool {
-        self.machines.is_empty()
-            && self.removed_machines.is_empty()
-            && self.attempts.is_empty()
-            && self.ended_attempts.is_empty()
-    }
-
-    /// Takes out the updates of the next status. What is too much for one status is left for the next.
-    fn take_batch(&mut self) -> UpdateBatch {
-        let ended = self.ended_attempts.len().min(SYNC_MAX_CHANGES);
-        UpdateBatch {
-            machines: take_first(&mut self.machines, SYNC_MAX_MACHINES),
-            removed_machines: take_first(&mut self.removed_machines, SYNC_MAX_MACHINES),
-            attempts: take_first(&mut self.attempts, SYNC_MAX_CHANGES),
-            ended_attempts: self.ended_attempts.drain(..ended).collect(),
-        }
-    }
-
-    /// The status in flight was not answered: all its updates have to be sent again.
-    fn requeue_unacknowledged(&mut self) {
-        if let Some(batch) = self.in_flight.take() {
-            self.machines.extend(batch.machines);
-            self.removed_machines.extend(batch.removed_machines);
-            self.attempts.extend(batch.attempts);
-            // What was sent first is sent first again.
-            let later = std::mem::replace(&mut self.ended_attempts, batch.ended_attempts);
-            self.ended_attempts.extend(later);
-        }
-    }
-}
-
 impl Partition {
     /// Whether something changed that the leader should get soon.
     pub fn has_pending_updates(&self) -> bool {
@@ -225,6 +153,3 @@
         lost: summary.condition.lost,
     })
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/worksshunt-core/src/machines/partition_sync/tests.rs
+++ b/crates/worksshunt-core/src/machines/pending_updates/tests.rs
@@ -1,4 +1,4 @@
-//! Tests of `partition_sync`: how much one status contains.
+//! Tests of `pending_updates`: how much one status contains.
 
 use worksshunt_wire::peer::AttemptOutcome;
 use worksshunt_wire::{JobId, TaskId};
