The number of a page that is not adopted is not used for a new page

The same flaw on another path: a completions page of another version is removed by a write without a condition on its revision, and its key could be that of a new page of the same epoch. The new page's conflict with it would have been read as an earlier copy of the write, and a late copy of the removal would have taken the new page along.

Measured: upgrade::completions_are_not_written_under_the_key_of_another_versions_page fails without the change and passes with it; tests of worksshunt-core pass.

--- a/crates/worksshunt-core/src/pages.rs
+++ b/crates/worksshunt-core/src/pages.rs
@@ -93,13 +93,19 @@
         version: Revision,
         entries: BTreeMap<E::Key, E>,
     ) {
+        self.skip_number_of(&key);
+        self.pages.push(Page::new(key, version, entries));
+    }
+
+    /// A page found in the store is not adopted: its number is not used for a new one. Otherwise the new page would
+    /// conflict with it, which would be read as an earlier copy of the write, or be removed along with it.
+    pub fn skip_number_of(&mut self, key: &str) {
         let number = key
             .strip_prefix(&self.prefix)
             .and_then(|number| number.parse::<u64>().ok());
         self.next_number = self
             .next_number
             .max(number.map_or(0, |number| number.saturating_add(1)));
-        self.pages.push(Page::new(key, version, entries));
     }
 
     /// A page found in the store had entries that were dropped: it is to be rewritten at once.
--- a/crates/worksshunt-core/src/pages/tests.rs
+++ b/crates/worksshunt-core/src/pages/tests.rs
@@ -133,3 +133,13 @@
     let writes = pages.next_writes(Time(0), 3);
     assert_eq!(keys(&writes).last(), Some(&"p/42"));
 }
+
+// Guards against a new page under the key of one that was found and is to be removed: the conflict with it would be
+// read as an earlier copy of the write, and its removal would take the new page along.
+#[test]
+fn the_number_of_a_page_that_is_not_adopted_is_not_used() {
+    let mut pages = pending(1);
+    pages.skip_number_of("p/0");
+    pages.skip_number_of("p/other");
+    assert_eq!(keys(&pages.next_writes(Time(0), 1)), ["p/1"]);
+}
--- a/crates/worksshunt-core/src/scheduler/loading.rs
+++ b/crates/worksshunt-core/src/scheduler/loading.rs
@@ -105,6 +105,7 @@
                 key = pair.key,
                 "completions page of another version dropped"
             );
+            self.pages.completions.skip_number_of(&pair.key);
             self.pending_writes
                 .insert(PendingWrite::RemoveKey(pair.key.clone()));
             return;
--- a/crates/worksshunt-core/tests/scenarios/upgrade.rs
+++ b/crates/worksshunt-core/tests/scenarios/upgrade.rs
@@ -361,3 +361,21 @@
     assert_eq!(cluster.state(1, 1).0, 200, "a form that can be read again");
     cluster.check();
 }
+
+// Guards against completions that are written over another version's page and removed along with it.
+#[test]
+fn completions_are_not_written_under_the_key_of_another_versions_page() {
+    let mut cluster = ready();
+    cluster.capacity = 1;
+    cluster.put("d/0", json!({ "bits": "AAAA" }));
+    (0..3).for_each(|controller| cluster.crash(controller));
+    (0..3).for_each(|controller| cluster.start(controller));
+    cluster.run(8_000);
+    cluster.submit(0, &job(1, 12));
+    cluster.until("completions", 60_000, |cluster| {
+        cluster.stored("d/1").is_some()
+    });
+    assert!(cluster.stored("d/0").is_none());
+    cluster.until("all tasks", 60_000, |cluster| cluster.all_done(1, 12));
+    cluster.check();
+}
