Metrics: /metrics tells of conflicts, evidence of final states, claims, reconciled jobs, leader and token

Operators could see none of the incident's conclusions as figures. The counters are prometheus-client's; core counts them and encodes its registry when asked, the binary routes GET /metrics. The protocol leaves that path free; it was 404 before.

--- a/crates/worksshunt-core/src/controller/events.rs
+++ b/crates/worksshunt-core/src/controller/events.rs
@@ -207,6 +207,8 @@
         /// The job's id as the user wrote it.
         job_id: String,
     },
+    /// A request for the metrics.
+    Metrics(RequestId),
     /// A health check.
     Health(RequestId),
     /// A worker's heartbeat.
--- a/crates/worksshunt-core/src/controller/final_state_lookups.rs
+++ b/crates/worksshunt-core/src/controller/final_state_lookups.rs
@@ -86,6 +86,7 @@
                 lookups.answered(id);
                 if let Some(state) = read_final_state(&pair.value) {
                     let evidence = FinalStateEvidence::Read(pair.version);
+                    self.metrics.final_state_learnt(evidence);
                     self.job_cache.remember_final(id, state, evidence);
                 }
             }
@@ -106,6 +107,7 @@
             KvResponse::Found(pair) => match read_final_state(&pair.value) {
                 Some(state) => {
                     let evidence = FinalStateEvidence::Read(pair.version);
+                    self.metrics.final_state_learnt(evidence);
                     self.job_cache
                         .remember_final(job_request.id, state, evidence);
                     final_state_response(&job_request, state)
--- a/crates/worksshunt-core/src/controller/job_requests.rs
+++ b/crates/worksshunt-core/src/controller/job_requests.rs
@@ -218,6 +218,7 @@
             KvResponse::Committed(revision) => {
                 let id = job_request.id;
                 let evidence = FinalStateEvidence::Committed(revision);
+                self.metrics.final_state_learnt(evidence);
                 self.job_cache
                     .remember_final(id, JobState::Cancelled, evidence);
                 self.apply_job_changes(now, vec![JobCacheChange::Closed(id)]);
--- a/crates/worksshunt-core/src/controller/loading.rs
+++ b/crates/worksshunt-core/src/controller/loading.rs
@@ -246,6 +246,7 @@
         let state = read_final_state(&pair.value);
         if let Some(state) = state {
             let evidence = FinalStateEvidence::Read(pair.version);
+            self.metrics.final_state_learnt(evidence);
             self.job_cache.remember_final(id, state, evidence);
         }
         if state != Some(JobState::Done) {
--- /dev/null
+++ b/crates/worksshunt-core/src/controller/metrics.rs
@@ -0,0 +1,56 @@
+//! What the controller counts, and its response to a request for the metrics.
+
+use crate::job_api::HttpResponse;
+use crate::jobs::FinalStateEvidence;
+use crate::metrics::{EvidenceLabel, EvidenceLabels, Metrics, QueueLabel, METRICS_CONTENT_TYPE};
+use crate::scheduler::ClaimRecord;
+
+use super::{Controller, WriteQueueId};
+
+impl From<WriteQueueId> for QueueLabel {
+    fn from(queue_id: WriteQueueId) -> QueueLabel {
+        match queue_id {
+            WriteQueueId::AttemptRecords => QueueLabel::AttemptRecords,
+            WriteQueueId::LeaderPages => QueueLabel::LeaderPages,
+            WriteQueueId::FinalWrites => QueueLabel::FinalWrites,
+            WriteQueueId::SubmissionBatches => QueueLabel::SubmissionBatches,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a final state learnt.
+    pub(super) fn final_state_learnt(&self, evidence: FinalStateEvidence) {
+        let evidence = match evidence {
+            FinalStateEvidence::Committed(_) => EvidenceLabel::Committed,
+            FinalStateEvidence::Read(_) => EvidenceLabel::Read,
+        };
+        let labels = EvidenceLabels { evidence };
+        self.final_states.get_or_create(&labels).inc();
+    }
+
+    /// Counts a claim record learnt.
+    pub(super) fn claim_recorded(&self, record: ClaimRecord) {
+        let evidence = match record {
+            ClaimRecord::Committed(_) => EvidenceLabel::Committed,
+            ClaimRecord::Exists => EvidenceLabel::Exists,
+            ClaimRecord::Deleted(_) => EvidenceLabel::Deleted,
+        };
+        let labels = EvidenceLabels { evidence };
+        self.claim_records.get_or_create(&labels).inc();
+    }
+}
+
+impl Controller {
+    /// The metrics as text.
+    pub(super) fn metrics_response(&self) -> HttpResponse {
+        let token = i64::try_from(self.membership.fencing_token().0).unwrap_or(i64::MAX);
+        self.metrics.fencing_token.set(token);
+        let is_leader = self.leader.is_some();
+        self.metrics.is_leader.set(i64::from(is_leader));
+        match self.metrics.encode() {
+            Ok(text) => HttpResponse::text(text, METRICS_CONTENT_TYPE),
+            Err(error) => HttpResponse::error(500, &error.to_string()),
+        }
+    }
+}
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -20,6 +20,7 @@
 mod leading;
 mod loading;
 mod member_lease;
+mod metrics;
 mod partition_sync;
 mod peers;
 mod readiness;
@@ -44,6 +45,7 @@
 use crate::jobs::JobCache;
 use crate::machines::{DirectCommands, DirectCommandsOutcome, Partition};
 use crate::membership::{MemberState, Membership};
+use crate::metrics::Metrics;
 use crate::placement::Parameters;
 use crate::quota::Quota;
 use crate::scheduler::Scheduler;
@@ -107,6 +109,7 @@
     write_queues: WriteQueues,
     leader: Option<Leader>,
     leader_duties: LeaderDuties,
+    metrics: Metrics,
 }
 
 impl Controller {
@@ -144,6 +147,7 @@
             malformed_heartbeat_logged: false,
             write_queues: WriteQueues::new(&facts.state),
             leader: None,
+            metrics: Metrics::new(),
             leader_duties: LeaderDuties::new(&facts.cloud),
             capacity,
             settings,
@@ -181,6 +185,9 @@
             Event::Cancel { request_id, job_id } => {
                 self.job_request(steady, request_id, &job_id, JobOperation::Cancel, actions);
             }
+            Event::Metrics(request_id) => {
+                actions.push(Action::Respond(request_id, self.metrics_response()));
+            }
             Event::Health(request_id) => {
                 actions.push(Action::Respond(request_id, self.health_response(steady)));
             }
--- a/crates/worksshunt-core/src/controller/reconciliation.rs
+++ b/crates/worksshunt-core/src/controller/reconciliation.rs
@@ -14,6 +14,7 @@
             return;
         };
         for id in self.open_jobs_not_scheduled() {
+            self.metrics.reconciled_jobs.inc();
             let known = self.job_cache.forget_final(id);
             tracing::error!(
                 job = %id,
--- a/crates/worksshunt-core/src/controller/write_conflicts.rs
+++ b/crates/worksshunt-core/src/controller/write_conflicts.rs
@@ -9,6 +9,7 @@
 
 use crate::jobs::{is_submission_batch, job_of_key, open_job_key};
 use crate::membership::EPOCH_KEY;
+use crate::metrics::ConflictLabels;
 use crate::scheduler::ClaimRecord;
 use crate::time::Time;
 
@@ -49,6 +50,11 @@
             unchanged = ?keys.unchanged,
             "write conflict"
         );
+        let labels = ConflictLabels {
+            queue: queue_id.into(),
+            all_keys_changed: keys.unchanged.is_empty().into(),
+        };
+        self.metrics.write_conflicts.get_or_create(&labels).inc();
         match queue_id {
             WriteQueueId::AttemptRecords | WriteQueueId::LeaderPages => {
                 self.pages_conflicted(queue_id, &keys, now);
@@ -95,9 +101,9 @@
                     machine,
                     change: ClaimChange::Put { key },
                 } if has_failed(&key) => {
-                    leader
-                        .scheduler
-                        .claim_recorded(&machine, ClaimRecord::Exists);
+                    let record = ClaimRecord::Exists;
+                    self.metrics.claim_recorded(record);
+                    leader.scheduler.claim_recorded(&machine, record);
                 }
                 FinalWrite::FinishJob(_)
                 | FinalWrite::UpdateClaim { .. }
--- a/crates/worksshunt-core/src/controller/write_outcomes.rs
+++ b/crates/worksshunt-core/src/controller/write_outcomes.rs
@@ -114,6 +114,7 @@
             match final_write {
                 FinalWrite::FinishJob(id) => {
                     let evidence = FinalStateEvidence::Committed(revision);
+                    self.metrics.final_state_learnt(evidence);
                     self.job_cache.remember_final(id, JobState::Done, evidence);
                     leader.scheduler.close_job(id, now);
                 }
@@ -122,6 +123,7 @@
                         ClaimChange::Put { .. } => ClaimRecord::Committed(revision),
                         ClaimChange::Delete => ClaimRecord::Deleted(revision),
                     };
+                    self.metrics.claim_recorded(record);
                     leader.scheduler.claim_recorded(&machine, record);
                 }
                 FinalWrite::RemoveKey(key) => leader.scheduler.key_removed(&key),
--- a/crates/worksshunt-core/src/job_api/http_response.rs
+++ b/crates/worksshunt-core/src/job_api/http_response.rs
@@ -9,13 +9,18 @@
 
 use super::JobRequest;
 
+/// Content type of JSON bodies.
+const JSON_CONTENT_TYPE: &str = "application/json";
+
 /// A response to a client.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HttpResponse {
     /// HTTP status.
     pub status: u16,
-    /// JSON body.
+    /// Body.
     pub body: String,
+    /// Its content type.
+    pub content_type: &'static str,
     /// Seconds after which the client should retry.
     pub retry_after_s: Option<u64>,
 }
@@ -27,17 +32,29 @@
             Ok(body) => HttpResponse {
                 status,
                 body,
+                content_type: JSON_CONTENT_TYPE,
                 retry_after_s: None,
             },
             Err(error) => HttpResponse::error(500, &error.to_string()),
         }
     }
 
+    /// A response with a text that is no JSON.
+    pub fn text(body: String, content_type: &'static str) -> HttpResponse {
+        HttpResponse {
+            status: 200,
+            body,
+            content_type,
+            retry_after_s: None,
+        }
+    }
+
     /// A response that states an error.
     pub fn error(status: u16, text: &str) -> HttpResponse {
         HttpResponse {
             status,
             body: serde_json::json!({ "error": text }).to_string(),
+            content_type: JSON_CONTENT_TYPE,
             retry_after_s: None,
         }
     }
--- a/crates/worksshunt-core/src/lib.rs
+++ b/crates/worksshunt-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod jobs;
 pub mod machines;
 pub mod membership;
+pub mod metrics;
 pub mod objectives;
 pub mod pages;
 pub mod partitioning;
--- a/crates/worksshunt-core/tests/scenarios/claims.rs
+++ b/crates/worksshunt-core/tests/scenarios/claims.rs
@@ -15,6 +15,7 @@
 use std::ops::RangeInclusive;
 
 use serde_json::{json, Value};
+use worksshunt_core::controller::Event;
 
 use crate::ready;
 use worksshunt_simulation::{job, Cluster, DelayRange, LateWrites};
@@ -108,3 +109,40 @@
     });
     cluster.check();
 }
+
+/// The value of a counter or gauge in a controller's metrics; 0 where it is not listed.
+fn metric(cluster: &mut Cluster, controller: usize, name: &str) -> u64 {
+    let response = cluster.ask(controller, Event::Metrics);
+    assert_eq!(response.status, 200);
+    let line = response.body.lines().find_map(|line| {
+        let value = line.strip_prefix(name)?;
+        value.trim().parse().ok()
+    });
+    line.unwrap_or(0)
+}
+
+// Guards against conclusions that operators cannot see: how often what was concluded from what.
+#[test]
+fn the_metrics_tell_what_claims_and_final_states_were_concluded_from() {
+    let mut cluster = full_of_small_jobs();
+    claim_with_a_late_copy(&mut cluster, 1);
+    let leader = cluster.leader();
+    let claims =
+        |evidence: &str| format!("worksshunt_claim_records_total{{evidence=\"{evidence}\"}}");
+    let committed = metric(&mut cluster, leader, &claims("Committed"));
+    assert!(committed > 0);
+    assert_eq!(metric(&mut cluster, leader, &claims("Deleted")), committed);
+    let done = "worksshunt_final_states_total{evidence=\"Committed\"}";
+    let ended = cluster.keys("f/").len() as u64;
+    assert_eq!(metric(&mut cluster, leader, done), ended);
+    assert_eq!(metric(&mut cluster, leader, "worksshunt_is_leader"), 1);
+    let epoch = cluster.epoch();
+    for controller in 0..3 {
+        let token = metric(&mut cluster, controller, "worksshunt_fencing_token");
+        assert_eq!(token, epoch);
+    }
+    assert_eq!(
+        metric(&mut cluster, leader, "worksshunt_reconciled_jobs_total"),
+        0
+    );
+}
--- a/crates/worksshunt-net/src/server.rs
+++ b/crates/worksshunt-net/src/server.rs
@@ -153,7 +153,7 @@
     let status = StatusCode::try_from(response.status).unwrap_or(StatusCode::InternalServerError);
     let mut encoded = Response::new(status);
     encoded.set_body(response.body);
-    encoded.insert_header("Content-Type", "application/json");
+    encoded.insert_header("Content-Type", response.content_type);
     if let Some(seconds) = response.retry_after_s {
         encoded.insert_header("Retry-After", seconds.to_string());
     }
--- a/crates/worksshunt-simulation/src/digest.rs
+++ b/crates/worksshunt-simulation/src/digest.rs
@@ -131,6 +131,7 @@
         Event::Submit { body, .. } => Message::bytes("submission", body.as_slice()),
         Event::Status { job_id, .. } => Message::bytes("status query", job_id.as_bytes()),
         Event::Cancel { job_id, .. } => Message::bytes("cancellation", job_id.as_bytes()),
+        Event::Metrics(_) => Message::empty("metrics request"),
         Event::Health(_) => Message::empty("health check"),
         Event::Heartbeat { body, .. } => Message::bytes("heartbeat", body.as_slice()),
         Event::KeyValueResponse { response, .. } => key_value_response(response),
--- a/crates/worksshunt/src/service/routes.rs
+++ b/crates/worksshunt/src/service/routes.rs
@@ -16,6 +16,7 @@
         return Err(HttpResponse::error(400, "body over 64 KiB"));
     };
     let (method, event) = match segments.as_slice() {
+        ["metrics"] => (Method::Get, Event::Metrics(request_id)),
         ["healthz"] => (Method::Get, Event::Health(request_id)),
         ["checkin"] => (Method::Post, Event::Heartbeat { request_id, body }),
         ["v2", "runs"] => (Method::Post, Event::Submit { request_id, body }),
--- a/crates/worksshunt/src/service/routes/tests.rs
+++ b/crates/worksshunt/src/service/routes/tests.rs
@@ -20,6 +20,8 @@
         status(Method::Post, "/v2/runs/j-000001/withdraw", some()),
         None
     );
+    assert_eq!(status(Method::Get, "/metrics", some()), None);
+    assert_eq!(status(Method::Post, "/metrics", some()), Some(405));
     assert_eq!(status(Method::Get, "/nothing", some()), Some(404));
     assert_eq!(status(Method::Get, "/v2/runs", some()), Some(405));
     assert_eq!(status(Method::Post, "/v2/runs", None), Some(400));
