--- a/crates/worksshunt-core/src/controller/write_conflicts.rs
+++ b/crates/worksshunt-core/src/controller/write_conflicts.rs
@@ -2,8 +2,8 @@
 //!
 //! A conflict shows that the copy answered was not applied. Whether an earlier copy was has to follow from the keys, and
 //! only for what those keys belong to: a job's end and a claim share a write by chance, and the key of one says
-//! nothing about the other. A write counts as applied earlier only where each of its keys takes every state but once, so
-//! that nothing else can have changed it.
+//! nothing about the other. A write counts as applied earlier only where no key of it returns to a former state, so that
+//! nothing else can have changed them.
 
 use worksshunt_wire::key_value::CompareAndSwap;
 
--- a/crates/worksshunt-core/src/scheduler/claims.rs
+++ b/crates/worksshunt-core/src/scheduler/claims.rs
@@ -1,18 +1,14 @@
 //! Claims: machines that the leader takes out of their partitions, by a conditional write, for tasks that
 //! find free resources in no partition.
 //!
-//! Each claim has a key of its own, which is put once and deleted once. If the keys were the machines' alone, a late
-//! copy of a claim's write could restore a key that the next claim on the machine expects to be missing.
-//!
-//! The leading controller calls [`Scheduler::claim_machines`] on a timer and reports the writes' results;
-//! `placement_targets` sends the claiming job's tasks to the claimed machines.
+//! The leading controller calls [`Scheduler::claim_machines`] on a timer; `claim_records` has what is written of a claim
+//! and what follows once it is durable; `placement_targets` sends the claiming job's tasks to the claimed machines.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use serde_json::Value;
 use worksshunt_wire::peer::MachineStatus;
-use worksshunt_wire::{Epoch, JobId, MachineId, Revision};
+use worksshunt_wire::{JobId, MachineId};
 
 use crate::constants::scheduling::{CLAIM_AFTER_MS, CLAIM_MACHINE_DIVISOR, MIN_CLAIMS};
 use crate::jobs::Job;
@@ -20,44 +16,8 @@
 
 use super::{PendingWrite, Scheduler};
 
-/// Prefix of the leader's claims on machines.
-pub const CLAIMS_PREFIX: &str = "k/";
-
-/// Key of a claim. Within an epoch no `number` is used twice, so no key is either.
-pub fn claim_key(machine: &MachineId, epoch: Epoch, number: u64) -> String {
-    format!("{CLAIMS_PREFIX}{machine}.{epoch}.{number}")
-}
-
-/// What a leader has learnt about a claim's record.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ClaimRecord {
-    /// Its write was committed at that revision.
-    Committed(Revision),
-    /// A write of it found its key there, so an earlier copy was committed.
-    Exists,
-    /// Its deletion was committed at that revision.
-    Deleted(Revision),
-}
-
-/// What is to be written of a claim.
-#[derive(Debug, Clone, PartialEq)]
-pub enum ClaimWrite {
-    /// Its record.
-    Put {
-        /// Its key.
-        key: String,
-        /// The record.
-        value: Value,
-    },
-    /// The deletion of its record.
-    Delete {
-        /// Its key.
-        key: String,
-    },
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ClaimState {
+pub(super) enum ClaimState {
     /// The conditional write is under way.
     BeingWritten,
     /// The machine is kept free for the job.
@@ -68,10 +28,10 @@
 
 #[derive(Debug, Clone)]
 pub(super) struct Claim {
-    job: JobId,
-    state: ClaimState,
+    pub(super) job: JobId,
+    pub(super) state: ClaimState,
     /// Its number within the epoch.
-    number: u64,
+    pub(super) number: u64,
 }
 
 /// A machine that may be claimed.
@@ -266,42 +226,4 @@
             self.release_claim(&machine);
         }
     }
-
-    /// What is to be written of the claim on a machine; none if there is no claim.
-    pub fn claim_write(&self, machine: &MachineId) -> Option<ClaimWrite> {
-        let claim = self.claims.get(machine)?;
-        let key = claim_key(machine, self.epoch, claim.number);
-        Some(match claim.state {
-            ClaimState::BeingWritten => ClaimWrite::Put {
-                key,
-                value: serde_json::json!({ "job": claim.job, "epoch": self.epoch }),
-            },
-            ClaimState::Held | ClaimState::Releasing => ClaimWrite::Delete { key },
-        })
-    }
-
-    /// Something was learnt about the record of the claim on a machine.
-    pub fn claim_recorded(&mut self, machine: &MachineId, record: ClaimRecord) {
-        let Some(claim) = self.claims.get_mut(machine) else {
-            return;
-        };
-        tracing::debug!(%machine, job = %claim.job, number = claim.number, ?record, "claim record learnt");
-        match (record, claim.state) {
-            (ClaimRecord::Deleted(_), _) => {
-                self.claims.remove(machine);
-                self.claim_settled(machine);
-            }
-            (_, ClaimState::BeingWritten) => {
-                claim.state = ClaimState::Held;
-                self.claim_settled(machine);
-            }
-            // Released while it was being written: its deletion is still due.
-            (_, ClaimState::Held | ClaimState::Releasing) => {}
-        }
-    }
-
-    fn claim_settled(&mut self, machine: &MachineId) {
-        self.pending_writes
-            .remove(&PendingWrite::UpdateClaim(machine.clone()));
-    }
 }
--- a/crates/worksshunt-core/src/scheduler/mod.rs
+++ b/crates/worksshunt-core/src/scheduler/mod.rs
@@ -11,6 +11,7 @@
 mod active_attempt;
 mod attempt_numbers;
 mod attempts;
+mod claim_records;
 mod claims;
 mod demand;
 mod dispatch;
@@ -43,8 +44,8 @@
 
 use active_attempt::ActiveAttempt;
 use attempt_numbers::AttemptNumbers;
+pub use claim_records::{claim_key, ClaimRecord, ClaimWrite, CLAIMS_PREFIX};
 use claims::Claim;
-pub use claims::{claim_key, ClaimRecord, ClaimWrite, CLAIMS_PREFIX};
 pub use demand::Demand;
 use demand::DemandHistory;
 pub use forecast::{ExpectedDemand, Forecast};
