Review: the aims of the sites in the settings of the cases

Cause: the settings of the cases had no objectives, which those of a deployment have; they change what is preempted.

--- a/review/standins/src/cluster.rs
+++ b/review/standins/src/cluster.rs
@@ -37,6 +37,8 @@
     /// Zone and kind of the machines that are up at the start.
     pub machines: &'static [(&'static str, bool)],
     pub cancel_s: f64,
+    /// The aims of the settings, as JSON.
+    pub objectives: &'static str,
 }
 
 /// The running deployment. Dropping it ends all processes.
@@ -335,8 +337,9 @@
             json!({"name": name, "cpus": cpus, "cpus_max": cpus_max, "gpus": 0.0, "gpus_max": 0.0})
         })
         .collect();
+    let objectives: Value = serde_json::from_str(plan.objectives).expect("objectives");
     json!({
-        "count": 3, "zones": plan.zones, "teams": teams, "objectives": [],
+        "count": 3, "zones": plan.zones, "teams": teams, "objectives": objectives,
         "workers": {"report_s": 2.5, "lease_s": 16.0, "gang_wait_s": 50.0, "gang_peer_s": 4.0, "cancel_s": plan.cancel_s},
         "state": {"rps": 150.0, "write_rps": 40.0, "value_kb": 8.0, "txn_ops": 32},
         "cloud": {"rps": 6.0, "list_lag_s": 6.0},
--- a/review/standins/src/search.rs
+++ b/review/standins/src/search.rs
@@ -56,6 +56,7 @@
         ("nube-sur", true),
     ],
     cancel_s: 41.0,
+    objectives: "[]",
 };
 
 /// Plays the troubles of the seed in the variable `SEED`.
