Review case 1: a team exceeds its limit after a cancellation in the middle of an upgrade

Cause: production stores the final state of a cancelled job without the job, and a new leader that has no job charges its tasks to no team, while they may still be on a machine that hangs.

--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -4,6 +4,8 @@
 mod mistaken;
 mod reserved;
 mod spread;
+mod stopped;
+mod upgrade;
 
 use std::time::{Duration, Instant};
 
@@ -29,6 +31,7 @@
     capacity: &[("zuid-oost", false, 2)],
     machines: &[("zuid-oost", false), ("zuid-oost", false)],
     cancel_s: 41.0,
+    production: 0,
     objectives: r#"[
         {"kind": "deadline", "class": "probe-sweep", "share": 0.88, "times": 1.0},
         {"kind": "deadline", "class": "probe-sweep", "share": 0.96, "times": 1.5},
@@ -54,6 +57,7 @@
     capacity: &[],
     machines: &[],
     cancel_s: 36.0,
+    production: 0,
     objectives: r#"[
         {"kind": "finished", "class": "canje-cierre", "within_s": 200.0, "share": 0.8},
         {"kind": "deadline", "class": "saldo-urgente", "share": 0.85, "times": 1.0},
@@ -69,8 +73,11 @@
         "claimed" => Some((claimed::PLAN, claimed::run)),
         "mistaken" => Some((mistaken::PLAN, mistaken::run)),
         "reserved" => Some((reserved::PLAN, reserved::run)),
+        "upgrade" => Some((upgrade::PLAN, upgrade::run)),
+        "stopped" => Some((stopped::PLAN, stopped::run)),
         "spread" => Some((spread::PLAN, spread::run)),
         "search" => Some((search::PLAN, search::run)),
+        "search-upgrade" => Some((search::UPGRADE_PLAN, search::run)),
         _ => None,
     }
 }
--- a/review/standins/src/cluster.rs
+++ b/review/standins/src/cluster.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -25,6 +26,9 @@
 /// Time within which the controllers have to take requests.
 const START_WITHIN: Duration = Duration::from_secs(20);
 
+/// The version in production, as built by review/build.sh.
+const PRODUCTION_PROGRAM: &str = "target/review/production-build/release/worksshunt";
+
 /// What differs between the deployments of the cases.
 pub struct Plan {
     pub zones: &'static [&'static str],
@@ -37,6 +41,8 @@
     /// Zone and kind of the machines that are up at the start.
     pub machines: &'static [(&'static str, bool)],
     pub cancel_s: f64,
+    /// Number of controllers, the last ones, that run the version in production at the start.
+    pub production: usize,
     /// The aims of the settings, as JSON.
     pub objectives: &'static str,
 }
@@ -49,12 +55,16 @@
     pub state: Arc<State>,
     pub nodes: Vec<(String, SocketAddr)>,
     pub teams: &'static [(&'static str, f64, f64)],
+    /// Whether users may submit services: nothing new is asked before all controllers are replaced.
+    pub has_services: bool,
     pub observer: Arc<Observer>,
     /// Connections of the nodes to the state service.
     pub links: Vec<Arc<Link>>,
     processes: Arc<Mutex<Vec<Child>>>,
     folder: PathBuf,
     root: PathBuf,
+    /// Controllers from this one on run the version in production.
+    first_production: AtomicUsize,
 }
 
 /// The command of the deploy file that starts a controller.
@@ -140,11 +150,13 @@
             state,
             nodes,
             teams: plan.teams,
+            has_services: plan.production == 0,
             observer,
             links,
             processes,
             folder: folder.to_owned(),
             root: root.to_owned(),
+            first_production: AtomicUsize::new(names.len() - plan.production),
         };
         for index in 0..names.len() {
             let known: Vec<Value> = (0..names.len())
@@ -178,7 +190,10 @@
             .append(true)
             .open(log)
             .expect("log file");
-        let command = run_command(&self.root);
+        let mut command = run_command(&self.root);
+        if index >= self.first_production.load(Ordering::Relaxed) {
+            command[0] = PRODUCTION_PROGRAM.to_owned();
+        }
         let child = Command::new(self.root.join(&command[0]))
             .args(&command[1..])
             .arg(&file)
@@ -192,7 +207,8 @@
             .stderr(log)
             .spawn()
             .expect("controller starts");
-        self.record.line(format!("controller {name} started"));
+        self.record
+            .line(format!("controller {name} started: {}", command[0]));
         child
     }
 
@@ -205,6 +221,12 @@
         let _ = processes[index].wait();
     }
 
+    /// All controllers come back with the new version from now on.
+    pub fn replace_production(&self) {
+        self.first_production
+            .store(self.nodes.len(), Ordering::Relaxed);
+    }
+
     /// Starts a controller that was killed, with the same settings.
     pub fn restart_controller(&self, index: usize) {
         let child = self.start_controller(index);
@@ -306,6 +328,16 @@
         matches!(response, Some((200 | 201, _)))
     }
 
+    /// Cancels a job at one node. Returns whether that was confirmed.
+    pub fn cancel_at(&self, id: &str, node: usize) -> bool {
+        let (name, address) = &self.nodes[node];
+        let path = format!("/v2/runs/{id}/withdraw");
+        let response = call(*address, "POST", &path, None, SUBMIT_TIMEOUT);
+        self.record
+            .line(format!("user POST {path} at {name}: {response:?}"));
+        matches!(response, Some((200, _)))
+    }
+
     /// Cancels a job. Returns whether that was confirmed.
     pub fn cancel(&self, id: &str) -> bool {
         let path = format!("/v2/runs/{id}/withdraw");
--- a/review/standins/src/search.rs
+++ b/review/standins/src/search.rs
@@ -56,9 +56,16 @@
         ("nube-sur", true),
     ],
     cancel_s: 41.0,
+    production: 0,
     objectives: "[]",
 };
 
+/// The same in the middle of an upgrade.
+pub const UPGRADE_PLAN: Plan = Plan {
+    production: 1,
+    ..PLAN
+};
+
 /// Plays the troubles of the seed in the variable `SEED`.
 pub fn run(cluster: &Cluster, _: bool) -> Option<Verdict> {
     let seed = std::env::var("SEED").ok()?.parse().ok()?;
@@ -151,7 +158,7 @@
                     1 => job.one_zone = true,
                     2 => job.zone = Some("nube-sur"),
                     3 if random.below(3) == 0 => job.is_mistaken = true,
-                    4 if random.below(3) == 0 => {
+                    4 if random.below(3) == 0 && cluster.has_services => {
                         (job.kind, job.tasks, job.priority) = ("standing", 2, "prod")
                     }
                     _ => {}
