Review: case 1 runs without the repository's history too; the search cuts controllers off

Cause: a checkout without history cannot build the version in production, whose only part in case 1 is one transaction. The search had no controller that is cut off.

Change: where production is not built, the stand-in of the state service carries out that transaction, and the record says so. The search holds back the requests of a controller to the state service and the workers' reports to it.

--- a/review/build.sh
+++ b/review/build.sh
@@ -16,4 +16,4 @@
         cargo build --release --offline --locked --bin worksshunt; then
     exit 0
 fi
-echo "the version in production cannot be built here; case 1 cannot run" >&2
+echo "the version in production cannot be built here; case 1 has the stand-in carry out its transaction" >&2
--- a/review/standins/src/cases/upgrade.rs
+++ b/review/standins/src/cases/upgrade.rs
@@ -44,7 +44,23 @@
             .find(|machine| machine.tasks().iter().any(runs_first))?;
         machine.hang(HANG);
     }
-    cluster.cancel_at(&first.id, OLD).then_some(())?;
+    if cluster.has_production() {
+        cluster.cancel_at(&first.id, OLD).then_some(())?;
+    } else {
+        // Without the repository's history production cannot be built. Its only part here is this transaction.
+        cluster
+            .record
+            .line("no program of production: its cancellation is carried out by the stand-in");
+        cluster
+            .state
+            .cancel_as_production(&first.id)
+            .then_some(())?;
+    }
+    let stored = cluster.state.value(&format!("f/{}", first.id));
+    cluster.record.line(format!(
+        "stored as final state: {}",
+        stored.unwrap_or_default()
+    ));
     cluster.observer.cancelled(&first.id);
     std::thread::sleep(Duration::from_secs(1));
     if is_troubled {
--- a/review/standins/src/cluster.rs
+++ b/review/standins/src/cluster.rs
@@ -100,6 +100,7 @@
             names.iter().cloned().zip(clients.iter().copied()).collect();
         let jobs = Arc::new(Jobs::default());
         let observer = Arc::new(Observer::new(Arc::clone(&record), plan));
+        let links: Vec<Arc<Link>> = names.iter().map(|_| Arc::default()).collect();
         let site = Arc::new(Site {
             nodes: nodes.clone(),
             report_s: 2.5,
@@ -107,6 +108,7 @@
             jobs: Arc::clone(&jobs),
             record: Arc::clone(&record),
             observer: Arc::clone(&observer),
+            links: links.clone(),
         });
         let state = State::start(Limits {
             rps: 150.0,
@@ -130,13 +132,11 @@
         let cloud = Cloud::new(site, spec, plan.zones, Duration::from_secs(2), capacity);
         let cloud_listener = bind();
         let cloud_address = cloud_listener.local_addr().expect("address");
-        let mut links = Vec::new();
         let mut state_addresses = Vec::new();
-        for _ in &names {
-            let (listener, link) = (bind(), Arc::new(Link::default()));
+        for link in &links {
+            let listener = bind();
             state_addresses.push(listener.local_addr().expect("address"));
-            serve(listener, state.handler(Arc::clone(&link)));
-            links.push(link);
+            serve(listener, state.handler(Arc::clone(link)));
         }
         serve(cloud_listener, cloud.handler());
         for (zone, spot) in plan.machines {
@@ -191,7 +191,7 @@
             .open(log)
             .expect("log file");
         let mut command = run_command(&self.root);
-        if index >= self.first_production.load(Ordering::Relaxed) {
+        if index >= self.first_production.load(Ordering::Relaxed) && self.has_production() {
             command[0] = PRODUCTION_PROGRAM.to_owned();
         }
         let child = Command::new(self.root.join(&command[0]))
@@ -221,6 +221,11 @@
         let _ = processes[index].wait();
     }
 
+    /// Whether the version in production has been built.
+    pub fn has_production(&self) -> bool {
+        self.root.join(PRODUCTION_PROGRAM).exists()
+    }
+
     /// All controllers come back with the new version from now on.
     pub fn replace_production(&self) {
         self.first_production
--- a/review/standins/src/search.rs
+++ b/review/standins/src/search.rs
@@ -311,7 +311,14 @@
         let time = Duration::from_secs(2 + random.below(12));
         let machines = cluster.cloud.machines();
         let machine = &machines[random.below(machines.len() as u64) as usize];
-        match random.below(15) {
+        match random.below(17) {
+            15 | 16 => {
+                let time = Duration::from_secs(5 + random.below(40));
+                cluster
+                    .record
+                    .line(format!("{node} is cut off for {time:?}"));
+                cluster.links[node].cut(time);
+            }
             14 => {
                 cluster.record.line("state refuses the leader, then all");
                 cluster.links[cluster.leader()].refuse(Duration::from_secs(52));
--- a/review/standins/src/state.rs
+++ b/review/standins/src/state.rs
@@ -26,6 +26,8 @@
 pub struct Link {
     /// Until then the node gets 503, and its watches wait.
     pub refused_until: Mutex<Option<Instant>>,
+    /// Until then the node's requests are held back; they are carried out late, without an answer.
+    pub cut_until: Mutex<Option<Instant>>,
     /// Share of the transactions without an answer, percent: some are carried out at once, some late.
     pub lost_percent: AtomicU64,
     /// Mean delay of answers, milliseconds.
@@ -39,6 +41,16 @@
         *self.refused_until.lock().expect("link") = Some(Instant::now() + time);
     }
 
+    /// Cuts the node off from the state service and from the workers' reports for a time.
+    pub fn cut(&self, time: Duration) {
+        *self.cut_until.lock().expect("link") = Some(Instant::now() + time);
+    }
+
+    /// Whether the node is cut off.
+    pub fn is_cut(&self) -> bool {
+        Link::is_ahead(&self.cut_until)
+    }
+
     fn is_ahead(until: &Mutex<Option<Instant>>) -> bool {
         until
             .lock()
@@ -140,6 +152,13 @@
                 }
                 return Some((503, json!({"error": "refused"})));
             }
+            if link.is_cut() {
+                while link.is_cut() {
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+                state.handle(&request);
+                return None;
+            }
             let is_transaction = request.path == "/txn";
             let draw = link.draw.fetch_add(7_919, Ordering::Relaxed) % 100;
             if is_transaction && draw < link.lost_percent.load(Ordering::Relaxed) {
@@ -164,6 +183,26 @@
         data.pairs.get(key).map(|pair| pair.value.clone())
     }
 
+    /// Carries out what production does when a user cancels an open job: its final state is stored without the job.
+    pub fn cancel_as_production(&self, id: &str) -> bool {
+        let (open, closed) = (format!("j/{id}"), format!("f/{id}"));
+        let version = {
+            let data = self.data.lock().expect("state");
+            data.pairs.get(&open).map_or(0, |pair| pair.version)
+        };
+        let body = json!({
+            "If": [{"K": open, "Sello": version}, {"K": closed, "Sello": 0}],
+            "Then": [{"Set": closed, "V": {"state": "aborted"}}, {"Remove": open}],
+        });
+        let request = Request {
+            method: "POST".to_owned(),
+            path: "/txn".to_owned(),
+            query: BTreeMap::new(),
+            body: body.to_string().into_bytes(),
+        };
+        version > 0 && self.handle(&request).0 == 200
+    }
+
     fn handle(&self, request: &Request) -> Response {
         if !self.data.lock().expect("state").requests.take(1.0) {
             return (429, json!({"error": "too many requests"}));
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -11,6 +11,7 @@
 use crate::jobs::{Job, Jobs};
 use crate::observer::Observer;
 use crate::record::Record;
+use crate::state::Link;
 
 /// Time for a response to a report (protocol).
 const REPORT_TIMEOUT: Duration = Duration::from_secs(4);
@@ -31,6 +32,8 @@
     pub jobs: Arc<Jobs>,
     pub record: Arc<Record>,
     pub observer: Arc<Observer>,
+    /// Connections of the nodes, for those that are cut off.
+    pub links: Vec<Arc<Link>>,
 }
 
 /// Type, zone and kind of a machine.
@@ -320,6 +323,11 @@
             };
             sent_at = Instant::now();
             let address = nodes[node].1;
+            if self.site.links[node].is_cut() {
+                std::thread::sleep(REPORT_TIMEOUT + NEXT_NODE_DELAY);
+                node = (node + 1) % nodes.len();
+                continue;
+            }
             let response = call(address, "POST", "/checkin", Some(&report), REPORT_TIMEOUT);
             let is_in_time = sent_at.elapsed() < REPORT_TIMEOUT;
             match response {
