Simulation: answered direct commands can reach their worker once more

Need: the users' records show the very request of a launch arriving 12.5 s after it was carried out and answered. The simulated cluster held commands back or lost answers, but never delivered an answered command again.

Change: Faults::repeated_commands repeats a share of the answered batches after a delay, or when a controller starts next, within a second; are_answered_commands_kept with Cluster::repeat_commands does so on request. The worker remembers the attempts that were reaped in its incarnation: a launch of one is the violation 'relaunched', in every scenario and random run.

--- a/crates/worksshunt-simulation/src/controllers.rs
+++ b/crates/worksshunt-simulation/src/controllers.rs
@@ -95,6 +95,7 @@
             started_at: self.now,
         });
         self.schedule_at(self.now, SimulationEvent::Tick(instance));
+        self.repeat_commands_at_start();
     }
 
     /// Limits the number of attempts in an epoch; a leader that reaches the limit begins a new epoch.
--- a/crates/worksshunt-simulation/src/events.rs
+++ b/crates/worksshunt-simulation/src/events.rs
@@ -85,6 +85,8 @@
         from: usize,
         commands: DirectCommands,
     },
+    /// Commands that were answered before arrive once more.
+    CommandsArriveAgain(DirectCommands),
     WorkerStep(MachineId),
     HeartbeatArrives {
         to: usize,
@@ -199,6 +201,7 @@
             SimulationEvent::CommandsArriveAfterDeadline { from, commands } => {
                 self.commands_arrive_after_deadline(from, &commands);
             }
+            SimulationEvent::CommandsArriveAgain(commands) => self.commands_arrive_again(&commands),
             SimulationEvent::WorkerStep(id) => self.step_worker(&id),
             SimulationEvent::HeartbeatArrives {
                 to,
--- a/crates/worksshunt-simulation/src/faults.rs
+++ b/crates/worksshunt-simulation/src/faults.rs
@@ -52,6 +52,17 @@
     changes.any(|change| change.key().starts_with(prefix))
 }
 
+/// Direct commands that reach their worker once more after it has answered them.
+#[derive(Debug, Clone, Copy)]
+pub struct RepeatedCommands {
+    /// Share of the answered batches that are repeated, 0 to 1.
+    pub share: f64,
+    /// Delay between the answer and the repetition.
+    pub delay: DelayRange,
+    /// Share of the repetitions that instead arrive when a controller starts next, 0 to 1.
+    pub share_at_controller_start: f64,
+}
+
 /// Limits on the size of transactions.
 #[derive(Debug, Clone, Copy)]
 pub struct KeyValueLimits {
@@ -162,6 +173,10 @@
     /// Whether direct commands time out and are held back until
     /// [`Cluster::release_commands`](crate::Cluster::release_commands).
     pub are_commands_held: bool,
+    /// Direct commands that arrive once more after they were answered.
+    pub repeated_commands: Option<RepeatedCommands>,
+    /// Whether answered direct commands are kept for [`Cluster::repeat_commands`](crate::Cluster::repeat_commands).
+    pub are_answered_commands_kept: bool,
     /// Jobs whose tasks fail on every machine.
     pub failing_jobs: BTreeSet<JobId>,
     /// Machines on which every task fails.
--- a/crates/worksshunt-simulation/src/heartbeats.rs
+++ b/crates/worksshunt-simulation/src/heartbeats.rs
@@ -8,7 +8,7 @@
 use crate::events::{ControllerInstance, SentHeartbeat, SimulationEvent};
 use crate::links::Link;
 use crate::network::PendingRequest;
-use crate::worker::Worker;
+use crate::worker::{Relaunch, Worker};
 use crate::{Cluster, CONTROLLER_COUNT, HEARTBEAT_TIMEOUT_MS, INSPECTION_INTERVAL_MS};
 
 /// Delay of a worker's next heartbeat after it has seen a new epoch, ms.
@@ -185,7 +185,8 @@
         match response.status {
             STATUS_OK => {
                 let body: HeartbeatResponse = serde_json::from_str(&response.body).expect("JSON");
-                worker.accept_response(now, sent.sent_at, &body);
+                let relaunched = worker.accept_response(now, sent.sent_at, &body);
+                self.record_relaunches(id, relaunched);
             }
             STATUS_MISDIRECTED => {
                 let redirect: Redirect = serde_json::from_str(&response.body).expect("JSON");
@@ -233,18 +234,25 @@
 }
 
 impl Worker {
-    /// Renews the lease and executes the commands, unless the fencing token is stale.
-    fn accept_response(&mut self, now: u64, sent_at: u64, response: &HeartbeatResponse) {
+    /// Renews the lease and executes the commands, unless the fencing token is stale. Returns the launches of reaped
+    /// attempts.
+    fn accept_response(
+        &mut self,
+        now: u64,
+        sent_at: u64,
+        response: &HeartbeatResponse,
+    ) -> Vec<Relaunch> {
         if response.fencing_token < self.fencing_token {
-            return;
+            return Vec::new();
         }
         if response.fencing_token > self.fencing_token {
             self.fencing_token = response.fencing_token;
             self.next_heartbeat_at = now + NEW_EPOCH_HEARTBEAT_DELAY_MS;
         }
         self.lease_renewed_at = self.lease_renewed_at.max(sent_at);
-        for command in &response.commands {
-            self.execute(command);
-        }
+        let commands = response.commands.iter();
+        commands
+            .filter_map(|command| self.execute(command))
+            .collect()
     }
 }
--- a/crates/worksshunt-simulation/src/lib.rs
+++ b/crates/worksshunt-simulation/src/lib.rs
@@ -40,7 +40,7 @@
 pub use failure::Failure;
 pub use faults::{
     CloudFaults, DelayRange, DelayedWrites, Faults, HeartbeatFaults, KeyValueFaults,
-    KeyValueLimits, ZonePartition,
+    KeyValueLimits, RepeatedCommands, ZonePartition,
 };
 pub use fixtures::{job, large_settings, long_job, service, settings};
 pub use key_value_service::KeyValueRates;
@@ -119,6 +119,10 @@
     pub fault_effects: BTreeMap<&'static str, usize>,
     /// Direct commands held back until released.
     held_commands: Vec<DirectCommands>,
+    /// Answered direct commands, kept for [`Cluster::repeat_commands`].
+    answered_commands: Vec<DirectCommands>,
+    /// Answered direct commands that arrive once more when a controller starts.
+    commands_repeated_at_start: Vec<DirectCommands>,
     /// Heartbeats held back until released.
     held_heartbeats: Vec<Heartbeat>,
     /// Heartbeat copies to deliver when the next epoch begins.
@@ -195,6 +199,8 @@
             faults: Faults::default(),
             fault_effects: BTreeMap::new(),
             held_commands: Vec::new(),
+            answered_commands: Vec::new(),
+            commands_repeated_at_start: Vec::new(),
             held_heartbeats: Vec::new(),
             copies_for_next_leader: Vec::new(),
             copies_epoch: 0,
--- a/crates/worksshunt-simulation/src/worker.rs
+++ b/crates/worksshunt-simulation/src/worker.rs
@@ -2,7 +2,7 @@
 //!
 //! The cluster owns one for each machine and steps it in `workers.rs`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use worksshunt_wire::worker::{Command, ExitReason, Heartbeat, TaskState, TaskStatus};
 use worksshunt_wire::{AttemptId, Epoch, Incarnation, MachineId, TaskId};
@@ -22,6 +22,13 @@
     pub(crate) ends_at: u64,
 }
 
+/// A launch of an attempt that had been reaped on the same machine.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Relaunch {
+    pub(crate) task: TaskId,
+    pub(crate) attempt: AttemptId,
+}
+
 /// A machine with its worker.
 #[derive(Debug, Clone)]
 pub struct Worker {
@@ -33,6 +40,8 @@
     pub(crate) sequence: u64,
     pub(crate) fencing_token: Epoch,
     pub(crate) tasks: BTreeMap<AttemptId, Task>,
+    /// Attempts that were reaped in this incarnation.
+    reaped: BTreeSet<AttemptId>,
     /// Index of the controller that receives the next heartbeat.
     pub(crate) controller: usize,
     /// When the last acknowledged heartbeat was sent, ms; the lease runs from then.
@@ -57,6 +66,7 @@
             sequence: 0,
             fencing_token: Epoch(0),
             tasks: BTreeMap::new(),
+            reaped: BTreeSet::new(),
             controller: 0,
             lease_renewed_at: booted_at,
             heartbeat_in_flight: None,
@@ -71,6 +81,7 @@
     pub(crate) fn expire_lease(&mut self, now: u64) {
         if now > self.lease_renewed_at + LEASE_MS {
             self.tasks.clear();
+            self.reaped.clear();
             self.incarnation += 1;
             self.sequence = 0;
             self.lease_renewed_at = now;
@@ -102,12 +113,19 @@
         }
     }
 
-    pub(crate) fn execute(&mut self, command: &Command) {
+    /// Executes a command. Returns the launch of an attempt that had been reaped, which no command should cause.
+    pub(crate) fn execute(&mut self, command: &Command) -> Option<Relaunch> {
         match command {
-            Command::Launch { task, attempt } => self.launch(*task, *attempt),
+            Command::Launch { task, attempt } => {
+                self.launch(*task, *attempt);
+                let (task, attempt) = (*task, *attempt);
+                let is_relaunch = self.reaped.remove(&attempt);
+                return is_relaunch.then_some(Relaunch { task, attempt });
+            }
             Command::Halt { attempt, .. } => self.halt(*attempt),
             Command::Reap { attempt, .. } => self.reap(*attempt),
         }
+        None
     }
 
     /// Adds a task; on a full machine it ends at once. A repeated launch of an attempt has no effect.
@@ -140,6 +158,7 @@
         let task = self.tasks.get(&attempt);
         if task.is_some_and(|task| task.state == TaskState::Ended) {
             self.tasks.remove(&attempt);
+            self.reaped.insert(attempt);
         }
     }
 }
--- a/crates/worksshunt-simulation/src/workers.rs
+++ b/crates/worksshunt-simulation/src/workers.rs
@@ -9,6 +9,7 @@
 
 use crate::events::SimulationEvent;
 use crate::task_snapshot::{ObservedTask, TaskSnapshot};
+use crate::worker::Relaunch;
 use crate::{Cluster, CONTROLLER_COUNT, HEARTBEAT_INTERVAL_MS};
 
 /// Interval between a worker's steps, ms.
@@ -198,21 +199,40 @@
     /// Delivers direct commands to a worker, which ignores them if they are stale. Returns the worker's heartbeat;
     /// `None` if it is unreachable or hangs.
     pub(crate) fn execute_commands(&mut self, commands: &DirectCommands) -> Option<Heartbeat> {
+        self.record_launches(&commands.machine, &commands.batch.commands);
+        self.deliver_batch(commands)
+    }
+
+    /// Delivers a batch of direct commands, which may be a copy. Returns the worker's answer, if it answers.
+    pub(crate) fn deliver_batch(&mut self, commands: &DirectCommands) -> Option<Heartbeat> {
         let (id, batch) = (&commands.machine, &commands.batch);
-        self.record_launches(id, &batch.commands);
         if self.faults.unreachable_machines.contains(id) {
             return None;
         }
         let worker = self.workers.get_mut(id).filter(|worker| !worker.is_hung)?;
         let is_current = batch.fencing_token >= worker.fencing_token
             && batch.incarnation.0 == worker.incarnation;
-        if is_current {
-            worker.fencing_token = batch.fencing_token;
-            for command in &batch.commands {
-                worker.execute(command);
-            }
+        if !is_current {
+            let answer = worker.next_heartbeat(id);
+            self.record_effect("refused commands");
+            return Some(answer);
+        }
+        worker.fencing_token = batch.fencing_token;
+        let commands = batch.commands.iter();
+        let relaunched = commands
+            .filter_map(|command| worker.execute(command))
+            .collect();
+        let answer = worker.next_heartbeat(id);
+        self.record_relaunches(id, relaunched);
+        Some(answer)
+    }
+
+    /// Records launches of attempts that had been reaped as violations.
+    pub(crate) fn record_relaunches(&mut self, id: &MachineId, relaunched: Vec<Relaunch>) {
+        for Relaunch { task, attempt } in relaunched {
+            let text = format!("attempt {attempt} of {task} was launched on {id} after its reap");
+            self.invariants.record_violation("relaunched", &text);
         }
-        Some(worker.next_heartbeat(id))
     }
 
     /// Makes a machine hang for a duration, ms.
