Logs and metrics: attempts that a worker should not have, commands by way, sizes of heartbeats

The controllers stopped it with the next response and wrote no line; whether it had been launched directly, and what the worker had answered, was in no log.

Change: an error line and worksshunt_unexpected_attempts_total tell of an attempt that was reaped on the machine and is listed again, or that its owner does not know. A message that may be a delayed copy (an earlier token, or a worker not confirmed reachable) counts only once a later one lists the attempt too. Counters of commands by way and of reaps held back, a histogram of heartbeat sizes, a debug line with the outcome of direct commands. Who leads under which token, and the reads that confirm an epoch, were logged before.

--- a/crates/worksshunt-core/src/constants/workers.rs
+++ b/crates/worksshunt-core/src/constants/workers.rs
@@ -27,6 +27,9 @@
 /// (protocol).
 pub const HEARTBEAT_HISTORY_MS: u64 = 600_000;
 
+/// Number of reaped attempts of a worker that are remembered, to recognize one that is listed again.
+pub const REMEMBERED_REAPS: usize = 64;
+
 /// Maximum number of machines of a partition that one tick checks; the next ticks check the others.
 pub const MACHINES_CHECKED_PER_TICK: usize = 1_024;
 
--- a/crates/worksshunt-core/src/controller/heartbeats.rs
+++ b/crates/worksshunt-core/src/controller/heartbeats.rs
@@ -15,6 +15,7 @@
 impl Controller {
     /// Processes a heartbeat if this controller owns the machine and may act. Returns the response.
     pub(super) fn handle_heartbeat(&mut self, now: Time, body: &[u8]) -> HttpResponse {
+        self.partition.metrics().record_heartbeat_size(body.len());
         let heartbeat = match parse_heartbeat(body) {
             Ok(heartbeat) => heartbeat,
             Err(error) => return self.reject_heartbeat(&error),
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -122,6 +122,8 @@
         let other_controllers = settings.peers.iter().map(|peer| peer.host_name.clone());
         let cancellation_staleness_ms = job_cache_reads::cancellation_staleness_ms(&facts.workers);
         job_cache_reads::warn_of_short_cancellation_time(&facts.workers);
+        let over_capacity_summary = OverCapacitySummary::new(parameters.summary_interval_ms);
+        let partition = Partition::new(parameters, &facts.workers, &facts.key_value_store);
         Controller {
             quota: Quota::new(&facts.teams),
             attempt_limit: None,
@@ -139,15 +141,15 @@
             job_progress: ProgressByJob::new(),
             catalog: CatalogState::default(),
             epoch_load: EpochLoad::default(),
-            over_capacity_summary: OverCapacitySummary::new(parameters.summary_interval_ms),
-            partition: Partition::new(parameters, &facts.workers, &facts.key_value_store),
+            over_capacity_summary,
+            metrics: Metrics::new(partition.metrics()),
+            partition,
             partition_epoch: None,
             partition_sync: PartitionSync::default(),
             direct_commands_in_flight: 0,
             has_logged_malformed_heartbeat: false,
             write_queues: WriteQueues::new(&facts.key_value_store),
             leader: None,
-            metrics: Metrics::new(),
             leader_duties: LeaderDuties::new(&facts.cloud),
             capacity,
             settings,
--- a/crates/worksshunt-core/src/machines/commands.rs
+++ b/crates/worksshunt-core/src/machines/commands.rs
@@ -8,6 +8,7 @@
 use worksshunt_wire::{AttemptId, Epoch, Incarnation, MachineId};
 
 use crate::constants::workers::{DIRECT_COMMAND_BACKOFF_MS, PROBE_INTERVAL_MS};
+use crate::metrics::DeliveryLabel;
 use crate::time::Time;
 
 use super::attempt::{AttemptState, TrackedAttempt};
@@ -26,6 +27,21 @@
     Unknown,
 }
 
+/// Format for log lines.
+impl std::fmt::Display for DirectCommandsOutcome {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            DirectCommandsOutcome::Answered(heartbeat) => write!(
+                f,
+                "answered incarnation {} sequence {} token {}",
+                heartbeat.incarnation, heartbeat.sequence, heartbeat.fencing_token
+            ),
+            DirectCommandsOutcome::NotSent => f.write_str("not sent"),
+            DirectCommandsOutcome::Unknown => f.write_str("unknown"),
+        }
+    }
+}
+
 /// A batch of direct commands and its destination.
 #[derive(Debug, Clone, PartialEq)]
 pub struct DirectCommands {
@@ -92,6 +108,7 @@
         let batch = machine.take_command_batch(token, now)?;
         let renewed_ago_ms = now.since(machine.lease.renewed_at);
         for command in &batch.commands {
+            self.metrics.count_command(command, DeliveryLabel::Direct);
             tracing::debug!(machine = %id, %token, incarnation = ?batch.incarnation, renewed_ago_ms, %command, "command sent directly");
         }
         Some(DirectCommands {
@@ -114,6 +131,7 @@
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
+        tracing::debug!(machine = %id, token = %sent.batch.fencing_token, %outcome, "outcome of direct commands");
         machine.command_channel.has_batch_in_flight = false;
         self.machines_with_pending_commands.insert(id.clone());
         match outcome {
--- a/crates/worksshunt-core/src/machines/heartbeat_response.rs
+++ b/crates/worksshunt-core/src/machines/heartbeat_response.rs
@@ -23,12 +23,37 @@
             .iter()
             .filter_map(|status| machine.command_for_listed_task(status))
             .collect();
+        machine.record_reaps(&commands);
+        let held_reaps = heartbeat
+            .tasks
+            .iter()
+            .filter(|status| machine.is_reap_held(status))
+            .count();
+        self.metrics.reaps_held.inc_by(held_reaps as u64);
         machine.push_launches(heartbeat, now, &mut commands);
         commands
     }
 }
 
 impl Machine {
+    /// Whether a listed attempt has ended and is not reaped because a launch of it may still arrive.
+    fn is_reap_held(&self, status: &TaskStatus) -> bool {
+        let attempt = &status.attempt;
+        status.state == TaskState::Ended
+            && match self.attempts.get(attempt) {
+                Some(tracked) => tracked.is_completion_durable && tracked.has_unanswered_launch,
+                None => self.unreapable_attempts.contains_key(attempt),
+            }
+    }
+
+    fn record_reaps(&mut self, commands: &[Command]) {
+        for command in commands {
+            if let Command::Reap { attempt, .. } = command {
+                self.reap_history.record_reap(*attempt);
+            }
+        }
+    }
+
     /// The stop or reap command for a listed task, if it needs one.
     fn command_for_listed_task(&self, status: &TaskStatus) -> Option<Command> {
         let (task, attempt) = (status.task, status.attempt);
--- a/crates/worksshunt-core/src/machines/heartbeats.rs
+++ b/crates/worksshunt-core/src/machines/heartbeats.rs
@@ -10,12 +10,14 @@
 use worksshunt_wire::worker::{Command, Heartbeat};
 use worksshunt_wire::{Epoch, Incarnation, MachineId};
 
+use crate::metrics::DeliveryLabel;
 use crate::time::Time;
 
 use super::attempt::AttemptState;
 use super::machine::{Machine, MachineInfo, MachineTimeouts};
 use super::partition::Partition;
 use super::sequence_number::SequenceNumber;
+use super::unexpected_attempts::ReapHistory;
 use super::worker_lease::ArrivalOrder;
 
 /// Result of processing a heartbeat; determines the response.
@@ -75,6 +77,7 @@
         self.apply_message(heartbeat, MessageKind::Heartbeat, epoch, catalog, now);
         let commands = self.response_commands(heartbeat, now);
         for command in &commands {
+            self.metrics.count_command(command, DeliveryLabel::Response);
             tracing::debug!(machine = %heartbeat.machine, token = %epoch, %sequence_number, %command, "command sent with heartbeat response");
         }
         HeartbeatOutcome::Accepted(commands)
@@ -115,6 +118,7 @@
         }
         machine.apply_machine_status(heartbeat, catalog, now);
         self.end_attempts_of_older_incarnations(id, heartbeat.incarnation, now);
+        self.report_unexpected_attempts(heartbeat, has_current_token);
         self.apply_listed_tasks(heartbeat, now);
         // A worker that has received this epoch's token refuses all commands of previous owners, so a task that it does
         // not list is not on the machine.
@@ -175,6 +179,9 @@
     fn apply_machine_status(&mut self, heartbeat: &Heartbeat, catalog: &Catalog, now: Time) {
         self.unreapable_attempts
             .retain(|_, incarnation| *incarnation >= heartbeat.incarnation);
+        if heartbeat.incarnation > self.lease.newest_message.incarnation {
+            self.reap_history = ReapHistory::default();
+        }
         self.lease
             .record_message(SequenceNumber::of(heartbeat), now);
         self.is_lost = false;
--- a/crates/worksshunt-core/src/machines/machine.rs
+++ b/crates/worksshunt-core/src/machines/machine.rs
@@ -20,6 +20,7 @@
 use super::attempt::{AttemptState, TrackedAttempt};
 use super::reachability::WorkerReachability;
 use super::sequence_number::SequenceNumber;
+use super::unexpected_attempts::ReapHistory;
 use super::worker_lease::{max_worker_lease_ms, WorkerLease};
 
 /// Immutable properties of a machine, reported by its worker.
@@ -130,6 +131,7 @@
     /// Ended attempts that must not be reaped: an unanswered direct launch could still arrive and start them again. The
     /// value is the incarnation to which the launch was sent.
     pub unreapable_attempts: BTreeMap<AttemptId, Incarnation>,
+    pub reap_history: ReapHistory,
     /// When the cloud reclaims the machine; `None` without a reclaim notice.
     pub reclaim_at: Option<Time>,
     pub directive: LeaderDirective,
@@ -155,6 +157,7 @@
             reachability: WorkerReachability::unconfirmed(now),
             command_channel: CommandChannel::default(),
             unreapable_attempts: BTreeMap::new(),
+            reap_history: ReapHistory::default(),
             reclaim_at: None,
             directive: LeaderDirective::default(),
             has_unknown_tasks: false,
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -28,6 +28,7 @@
 mod reachability;
 mod sequence_number;
 mod task_status;
+mod unexpected_attempts;
 mod worker_lease;
 
 pub use commands::{DirectCommands, DirectCommandsOutcome};
--- a/crates/worksshunt-core/src/machines/partition.rs
+++ b/crates/worksshunt-core/src/machines/partition.rs
@@ -10,6 +10,7 @@
 use worksshunt_wire::settings::{KeyValueLimits, Workers};
 use worksshunt_wire::{AttemptId, JobId, MachineId, Revision};
 
+use crate::metrics::WorkerMetrics;
 use crate::pages::{max_page_bytes, PageWrite, Pages};
 use crate::placement::{OverCapacityCounts, PlacementParameters, Speed};
 use crate::records::AttemptRecord;
@@ -49,6 +50,7 @@
     pub(super) machines_with_deferred_commands: BTreeSet<(Time, MachineId)>,
     pub(super) pending_updates: PendingUpdates,
     pub(super) over_capacity_counts: OverCapacityCounts,
+    pub(super) metrics: WorkerMetrics,
 }
 
 impl Partition {
@@ -75,6 +77,7 @@
             machines_with_deferred_commands: BTreeSet::new(),
             pending_updates: PendingUpdates::default(),
             over_capacity_counts: OverCapacityCounts::default(),
+            metrics: WorkerMetrics::default(),
         }
     }
 
@@ -83,6 +86,11 @@
         self.page_bytes = max_page_bytes(limits);
     }
 
+    /// Metrics of the workers of this controller's partitions, in this and earlier epochs.
+    pub fn metrics(&self) -> &WorkerMetrics {
+        &self.metrics
+    }
+
     /// Returns an attempt and the machine it is on.
     pub(super) fn tracked_attempt(
         &self,
--- a/crates/worksshunt-core/src/metrics.rs
+++ b/crates/worksshunt-core/src/metrics.rs
@@ -1,14 +1,21 @@
-//! Counters and gauges of a controller: write conflicts, final job states, claim records and leadership.
+//! Counters and gauges of a controller: write conflicts, final job states, claim records, leadership and workers.
 //!
 //! The controller owns one [`Metrics`] and responds to `GET /metrics` with its encoding. Counters start at zero when
 //! the process starts.
 
+mod workers;
+
 use prometheus_client::encoding::{text, EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+pub use workers::{
+    CommandLabel, CommandLabels, DeliveryLabel, UnexpectedAttemptLabel, UnexpectedAttemptLabels,
+    WorkerMetrics,
+};
+
 /// Content type of the encoded metrics, which are in the OpenMetrics text format.
 pub const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -90,15 +97,9 @@
     pub is_leader: Gauge,
 }
 
-impl Default for Metrics {
-    fn default() -> Metrics {
-        Metrics::new()
-    }
-}
-
 impl Metrics {
-    /// Creates and registers all metrics with the value 0.
-    pub fn new() -> Metrics {
+    /// Creates and registers all metrics with the value 0. Those of the workers belong to the partition.
+    pub fn new(workers: &WorkerMetrics) -> Metrics {
         let mut metrics = Metrics {
             registry: Registry::with_prefix("worksshunt"),
             write_conflicts: Family::default(),
@@ -109,6 +110,7 @@
             is_leader: Gauge::default(),
         };
         metrics.register();
+        workers.register(&mut metrics.registry);
         metrics
     }
 
