--- a/crates/worksshunt-core/src/constants/leases.rs
+++ b/crates/worksshunt-core/src/constants/leases.rs
@@ -1,5 +1,7 @@
 //! Leases of controllers and workers, and their safety margins.
 
+use worksshunt_wire::Epoch;
+
 /// Time to live of a controller's member key, milliseconds. It must exceed the slowest responses of the store; a longer
 /// one delays the failover of a failed controller's partition.
 pub const MEMBER_LEASE_TTL_MS: u64 = 4_000;
@@ -26,6 +28,13 @@
 /// crash-looping controller does not cause a new epoch at each start.
 pub const READS_BEFORE_MEMBER_ADMISSION: u32 = 2;
 
+/// Number of fencing tokens per epoch. A response that reaps ended attempts may raise a worker's token by one; once none
+/// is left, the worker's launches are sent only with responses.
+pub const FENCING_TOKENS_PER_EPOCH: u64 = 1 << 20;
+
+/// Epochs after one with a higher number have one fencing token each, so that attempt numbers stay below 2^64.
+pub const MAX_EPOCH_BEFORE_TOKEN_RANGE: Epoch = Epoch(u64::MAX / ATTEMPTS_PER_EPOCH / 2);
+
 /// Number of attempt numbers per epoch: an attempt number is the epoch number times this plus a counter. The leader
 /// begins a new epoch when they are used up.
 pub const ATTEMPTS_PER_EPOCH: u64 = 1 << 24;
--- a/crates/worksshunt-core/src/constants/workers.rs
+++ b/crates/worksshunt-core/src/constants/workers.rs
@@ -27,6 +27,10 @@
 /// (protocol).
 pub const HEARTBEAT_HISTORY_MS: u64 = 600_000;
 
+/// Number of tasks in a heartbeat up to which reaps may wait for the answer to a batch of direct commands. A tenth of
+/// the tasks that fit into the largest heartbeat.
+pub const MAX_TASKS_LISTED_BY_HELD_REAPS: usize = 64;
+
 /// Number of reaped attempts of a worker that are remembered, to recognize one that is listed again.
 pub const REMEMBERED_REAPS: usize = 64;
 
--- a/crates/worksshunt-core/src/controller/epoch_start.rs
+++ b/crates/worksshunt-core/src/controller/epoch_start.rs
@@ -1,7 +1,7 @@
 //! Transition from loading to serving: builds the partition, and on the leader the scheduler and the fleet, from the
 //! loaded records.
 
-use worksshunt_wire::{ControllerName, Epoch};
+use worksshunt_wire::ControllerName;
 
 use crate::fleet::Fleet;
 use crate::machines::EpochStart;
@@ -47,7 +47,7 @@
         let previous_owners = self
             .partition_epoch
             .take()
-            .filter(|previous| previous.number == previous_epoch_number(epoch))
+            .filter(|previous| previous.number == epoch.previous_number())
             .map_or(Vec::new(), |previous| previous.owners);
         let records: Vec<AttemptRecord> = record_pages
             .iter()
@@ -57,6 +57,7 @@
             now,
             &EpochStart {
                 epoch: epoch.number,
+                fencing_tokens: epoch.fencing_tokens(),
                 owner: own_name,
                 records: &records,
                 job_cache: &self.job_cache,
@@ -82,13 +83,14 @@
         let mut scheduler =
             Scheduler::load(now, epoch.number, owners, facts, &self.job_cache, stored);
         let fleet = match previous_fleet {
-            Some(fleet) if fleet.epoch() == previous_epoch_number(epoch) => {
+            Some(fleet) if fleet.epoch() == epoch.previous_number() => {
                 fleet.into_next_epoch(epoch.number)
             }
             _ => {
                 let max_requests = self.capacity.provision_requests;
                 Fleet::new(
                     epoch.number,
+                    epoch.previous_number(),
                     now,
                     &facts.cloud,
                     &facts.workers,
@@ -108,8 +110,3 @@
         );
     }
 }
-
-/// The number of the epoch before `epoch`.
-fn previous_epoch_number(epoch: &EpochRecord) -> Epoch {
-    Epoch(epoch.number.0 - 1)
-}
--- a/crates/worksshunt-core/src/controller/heartbeats.rs
+++ b/crates/worksshunt-core/src/controller/heartbeats.rs
@@ -1,7 +1,6 @@
 //! Heartbeats of workers. The controller that owns the machine processes them; the others redirect the worker to it.
 
-use worksshunt_wire::worker::{Heartbeat, HeartbeatResponse, Redirect};
-use worksshunt_wire::Epoch;
+use worksshunt_wire::worker::{Heartbeat, Redirect};
 
 use crate::constants::job_api::MAX_MACHINE_NAME_BYTES;
 use crate::job_api::HttpResponse;
@@ -36,11 +35,7 @@
                 },
             ),
             (Some(_), Some(catalog)) if self.membership.may_act(now) => {
-                let fencing_token = self.membership.fencing_token();
-                let outcome =
-                    self.partition
-                        .process_heartbeat(now, &heartbeat, fencing_token, catalog);
-                heartbeat_response(outcome, fencing_token)
+                heartbeat_response(self.partition.process_heartbeat(now, &heartbeat, catalog))
             }
             _ => HttpResponse::retry_later("not entitled to act now"),
         }
@@ -79,15 +74,9 @@
     (1..=MAX_MACHINE_NAME_BYTES).contains(&name.len()) && name.chars().all(is_allowed)
 }
 
-fn heartbeat_response(outcome: HeartbeatOutcome, fencing_token: Epoch) -> HttpResponse {
+fn heartbeat_response(outcome: HeartbeatOutcome) -> HttpResponse {
     match outcome {
-        HeartbeatOutcome::Accepted(commands) => HttpResponse::json(
-            200,
-            &HeartbeatResponse {
-                fencing_token,
-                commands,
-            },
-        ),
+        HeartbeatOutcome::Accepted(response) => HttpResponse::json(200, &response),
         HeartbeatOutcome::Rejected => HttpResponse::retry_later("a newer message has come"),
     }
 }
--- a/crates/worksshunt-core/src/controller/key_value_responses.rs
+++ b/crates/worksshunt-core/src/controller/key_value_responses.rs
@@ -75,7 +75,7 @@
         response: KvResponse,
         actions: &mut Vec<Action>,
     ) {
-        let current = self.membership.fencing_token();
+        let current = self.membership.epoch_number();
         match purpose {
             KvPurpose::LoadEpoch { epoch, step } if self.is_loading_epoch(epoch) => {
                 self.process_load_step_response(times, step, response, actions);
--- a/crates/worksshunt-core/src/controller/loading.rs
+++ b/crates/worksshunt-core/src/controller/loading.rs
@@ -85,7 +85,7 @@
             }
         };
         self.epoch_load.retry_timer.mark_sent(now, 0);
-        let epoch = self.membership.fencing_token();
+        let epoch = self.membership.epoch_number();
         let purpose = KvPurpose::LoadEpoch { epoch, step };
         call_store(actions, purpose, request);
     }
@@ -96,7 +96,7 @@
 
     /// Whether this controller is loading `epoch`.
     pub(super) fn is_loading_epoch(&self, epoch: Epoch) -> bool {
-        self.membership.state() == MemberState::Loading && epoch == self.membership.fencing_token()
+        self.membership.state() == MemberState::Loading && epoch == self.membership.epoch_number()
     }
 
     /// Processes the response to a load step: continues with the next step, or retries after a failure.
@@ -195,7 +195,7 @@
 
     /// Requests the queued final states, at most [`MAX_FINAL_STATE_LOADS_IN_FLIGHT`] at a time.
     fn request_final_states(&mut self, actions: &mut Vec<Action>) {
-        let epoch = self.membership.fencing_token();
+        let epoch = self.membership.epoch_number();
         let load = &mut self.epoch_load;
         while load.final_states_in_flight.len() < MAX_FINAL_STATE_LOADS_IN_FLIGHT {
             let Some(id) = load.final_states_to_request.pop_front() else {
--- a/crates/worksshunt-core/src/controller/metrics.rs
+++ b/crates/worksshunt-core/src/controller/metrics.rs
@@ -44,7 +44,7 @@
 impl Controller {
     /// The response to a metrics request; updates the gauges first.
     pub(super) fn metrics_response(&self) -> HttpResponse {
-        let token = i64::try_from(self.membership.fencing_token().0).unwrap_or(i64::MAX);
+        let token = i64::try_from(self.membership.epoch_number().0).unwrap_or(i64::MAX);
         self.metrics.fencing_token.set(token);
         let is_leader = self.leader.is_some();
         self.metrics.is_leader.set(i64::from(is_leader));
--- a/crates/worksshunt-core/src/controller/mod.rs
+++ b/crates/worksshunt-core/src/controller/mod.rs
@@ -246,8 +246,7 @@
             .capacity
             .direct_commands
             .saturating_sub(self.direct_commands_in_flight);
-        let token = self.membership.fencing_token();
-        let batches = self.partition.next_direct_commands(now, token, max_batches);
+        let batches = self.partition.next_direct_commands(now, max_batches);
         self.direct_commands_in_flight += batches.len();
         actions.extend(batches.into_iter().map(Action::SendDirectCommands));
     }
@@ -260,13 +259,13 @@
         outcome: &DirectCommandsOutcome,
     ) {
         self.direct_commands_in_flight = self.direct_commands_in_flight.saturating_sub(1);
-        let token = self.membership.fencing_token();
         let Some(catalog) = &self.catalog.current else {
             return;
         };
-        if commands.batch.fencing_token == token {
+        let tokens = self.membership.fencing_tokens();
+        if tokens.contains(commands.batch.fencing_token) {
             self.partition
-                .apply_direct_commands_outcome(now, commands, outcome, token, catalog);
+                .apply_direct_commands_outcome(now, commands, outcome, catalog);
         }
     }
 }
--- a/crates/worksshunt-core/src/controller/partition_sync.rs
+++ b/crates/worksshunt-core/src/controller/partition_sync.rs
@@ -47,7 +47,7 @@
             return;
         };
         sync.last_sent_at = now.steady;
-        let token = self.membership.fencing_token();
+        let token = self.membership.epoch_number();
         let status = self
             .partition
             .next_status(now.steady, token, self.membership.name());
@@ -70,7 +70,7 @@
         status: PartitionStatus,
         budget: &Budget,
     ) -> Option<LeaderDirectives> {
-        if status.epoch != self.membership.fencing_token() || !self.membership.may_act(now.steady) {
+        if status.epoch != self.membership.epoch_number() || !self.membership.may_act(now.steady) {
             return None;
         }
         let leader = self.leader.as_mut()?;
@@ -92,7 +92,7 @@
         }
         match response {
             Some(PeerResponse::Sync(directives))
-                if directives.epoch == self.membership.fencing_token() =>
+                if directives.epoch == self.membership.epoch_number() =>
             {
                 self.apply_leader_directives(now, directives);
             }
--- a/crates/worksshunt-core/src/controller/reconciliation.rs
+++ b/crates/worksshunt-core/src/controller/reconciliation.rs
@@ -18,7 +18,7 @@
             let removed_final_state = self.job_cache.remove_final_state(id);
             tracing::error!(
                 job = %id,
-                epoch = %self.membership.fencing_token(),
+                epoch = %self.membership.epoch_number(),
                 %cache_revision,
                 ?removed_final_state,
                 "job closed by the scheduler is still open in the store; scheduling it again"
--- a/crates/worksshunt-core/src/controller/store_outage.rs
+++ b/crates/worksshunt-core/src/controller/store_outage.rs
@@ -112,7 +112,7 @@
         }
         let peers = self.settings.peers.iter();
         let others: BTreeSet<ControllerName> = peers.map(|peer| peer.host_name.clone()).collect();
-        let epoch = self.membership.fencing_token();
+        let epoch = self.membership.epoch_number();
         let poll_number =
             self.store_health
                 .epoch_confirmation
@@ -129,7 +129,7 @@
     pub(super) fn epoch_poll_response(&self, now: Time, poll_number: u64) -> EpochPollResponse {
         EpochPollResponse {
             poll_number,
-            epoch: self.membership.fencing_token(),
+            epoch: self.membership.epoch_number(),
             is_key_value_store_reachable: self.store_health.is_reachable(now),
         }
     }
@@ -143,7 +143,7 @@
     ) {
         let confirmation = &mut self.store_health.epoch_confirmation;
         confirmation.record_response(from, response);
-        let epoch = self.membership.fencing_token();
+        let epoch = self.membership.epoch_number();
         let Some(sent_at) = confirmation.confirmed_poll_sent_at(epoch) else {
             return;
         };
--- a/crates/worksshunt-core/src/controller/write_conflicts.rs
+++ b/crates/worksshunt-core/src/controller/write_conflicts.rs
@@ -47,7 +47,7 @@
         let keys = ConflictKeys::new(write, failed_keys);
         tracing::info!(
             queue = ?queue_id,
-            epoch = %self.membership.fencing_token(),
+            epoch = %self.membership.epoch_number(),
             changed_keys = ?keys.changed,
             unchanged_keys = ?keys.unchanged,
             "queued write conflicted"
--- a/crates/worksshunt-core/src/controller/write_outcomes.rs
+++ b/crates/worksshunt-core/src/controller/write_outcomes.rs
@@ -182,7 +182,7 @@
         if let Some(key) = record_pages.into_iter().chain(leader_pages).next() {
             self.write_queues.page_version_timer.mark_sent(now, 0);
             let purpose = KvPurpose::ReadPageVersion {
-                epoch: self.membership.fencing_token(),
+                epoch: self.membership.epoch_number(),
                 key: key.clone(),
             };
             call_store(actions, purpose, KvRequest::Get(key));
--- a/crates/worksshunt-core/src/controller/writes.rs
+++ b/crates/worksshunt-core/src/controller/writes.rs
@@ -50,7 +50,7 @@
         let number = queue.hedge.start_write(now);
         let purpose = KvPurpose::QueuedWrite {
             queue: queue_id,
-            epoch: self.membership.fencing_token(),
+            epoch: self.membership.epoch_number(),
             number,
         };
         call_store(actions, purpose, KvRequest::CompareAndSwap(write));
@@ -66,7 +66,7 @@
             queue.change_tokens.take(write.changes.len());
             let purpose = KvPurpose::QueuedWrite {
                 queue: queue_id,
-                epoch: self.membership.fencing_token(),
+                epoch: self.membership.epoch_number(),
                 number,
             };
             actions.push(hedge_action(purpose, write));
--- a/crates/worksshunt-core/src/fleet/mod.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -74,10 +74,11 @@
 }
 
 impl Fleet {
-    /// Creates an empty fleet at the start of an epoch. At most `max_pending_provisions` provision requests are pending
+    /// Creates an empty fleet at the start of an epoch; `previous` is the epoch before, 0 if there was none. At most `max_pending_provisions` provision requests are pending
     /// at a time.
     pub fn new(
         epoch: Epoch,
+        previous: Epoch,
         now: Time,
         cloud: &CloudLimits,
         workers: &Workers,
@@ -85,7 +86,10 @@
     ) -> Fleet {
         let list_lag_ms = (cloud.list_lag_s * 1_000.0) as u64;
         // The first epoch has no previous leader.
-        let provision_delay_ms = if epoch.0 <= 1 { 0 } else { list_lag_ms };
+        let provision_delay_ms = match previous {
+            Epoch(0) => 0,
+            _ => list_lag_ms,
+        };
         Fleet {
             epoch,
             provision_request_count: 0,
--- a/crates/worksshunt-core/src/fleet/tests.rs
+++ b/crates/worksshunt-core/src/fleet/tests.rs
@@ -22,6 +22,7 @@
     let workers = serde_json::from_value(workers).expect("workers");
     Fleet::new(
         Epoch(epoch),
+        Epoch(epoch - 1),
         Time(0),
         &cloud,
         &workers,
--- a/crates/worksshunt-core/src/machines/attempt.rs
+++ b/crates/worksshunt-core/src/machines/attempt.rs
@@ -64,8 +64,6 @@
     pub stop_request: Option<StopRequest>,
     /// Whether the completion is durable in the key-value store, or need not be because the job has ended.
     pub is_completion_durable: bool,
-    /// Whether a direct launch was sent, has not been answered and may still arrive.
-    pub has_unanswered_launch: bool,
 }
 
 impl TrackedAttempt {
@@ -86,7 +84,6 @@
             is_inherited: state == AttemptState::Inherited,
             stop_request: None,
             is_completion_durable: false,
-            has_unanswered_launch: false,
         }
     }
 
--- a/crates/worksshunt-core/src/machines/attempts.rs
+++ b/crates/worksshunt-core/src/machines/attempts.rs
@@ -80,11 +80,6 @@
             let failing_jobs = machine.failing_jobs.len();
             tracing::info!(task = %tracked.task, machine = %id, failing_jobs, "attempt failed");
         }
-        if tracked.has_unanswered_launch {
-            machine
-                .unreapable_attempts
-                .insert(attempt, tracked.incarnation);
-        }
         if let Some(band) = tracked.over_capacity_band {
             let outcome = match outcome {
                 AttemptOutcome::Failed => OverCapacityOutcome::Failed,
--- a/crates/worksshunt-core/src/machines/commands.rs
+++ b/crates/worksshunt-core/src/machines/commands.rs
@@ -5,7 +5,7 @@
 
 use worksshunt_wire::cloud::Catalog;
 use worksshunt_wire::worker::{Command, CommandBatch, Heartbeat};
-use worksshunt_wire::{AttemptId, Epoch, Incarnation, MachineId};
+use worksshunt_wire::{AttemptId, Incarnation, MachineId};
 
 use crate::constants::workers::{DIRECT_COMMAND_BACKOFF_MS, PROBE_INTERVAL_MS};
 use crate::metrics::DeliveryLabel;
@@ -57,12 +57,7 @@
     /// Returns the launches, stops and probes that can be sent directly to workers now, for at most `max_machines`
     /// machines, and marks them as sent. To be called only while `Membership::may_act` holds. The responses to
     /// heartbeats deliver launches and stops that are not sent directly.
-    pub fn next_direct_commands(
-        &mut self,
-        now: Time,
-        token: Epoch,
-        max_machines: usize,
-    ) -> Vec<DirectCommands> {
+    pub fn next_direct_commands(&mut self, now: Time, max_machines: usize) -> Vec<DirectCommands> {
         let is_due = |(due_at, _): &(Time, MachineId)| *due_at <= now;
         while self
             .machines_with_deferred_commands
@@ -80,18 +75,13 @@
             let Some(id) = self.machines_with_pending_commands.pop_first() else {
                 break;
             };
-            batches.extend(self.direct_commands_for(id, token, now));
+            batches.extend(self.direct_commands_for(id, now));
         }
         batches
     }
 
     /// The direct commands that can be sent to one machine now, if any.
-    fn direct_commands_for(
-        &mut self,
-        id: MachineId,
-        token: Epoch,
-        now: Time,
-    ) -> Option<DirectCommands> {
+    fn direct_commands_for(&mut self, id: MachineId, now: Time) -> Option<DirectCommands> {
         let machine = self.machines.get_mut(&id)?;
         let address = machine.info.as_ref()?.command_address.clone();
         let is_unavailable = machine.is_lost || machine.has_missed_heartbeats(now, self.timeouts);
@@ -105,7 +95,8 @@
                 .insert((not_before, id));
             return None;
         }
-        let batch = machine.take_command_batch(token, now)?;
+        let batch = machine.take_command_batch(now)?;
+        let token = batch.fencing_token;
         let renewed_ago_ms = now.since(machine.lease.renewed_at);
         for command in &batch.commands {
             self.metrics.count_command(command, DeliveryLabel::Direct);
@@ -124,7 +115,6 @@
         now: Time,
         sent: &DirectCommands,
         outcome: &DirectCommandsOutcome,
-        epoch: Epoch,
         catalog: &Catalog,
     ) {
         let id = &sent.machine;
@@ -140,7 +130,7 @@
                     machine.reachability.confirm();
                 }
                 machine.command_channel.not_before = now;
-                self.apply_message(heartbeat, MessageKind::CommandResponse, epoch, catalog, now);
+                self.apply_message(heartbeat, MessageKind::CommandResponse, catalog, now);
                 self.resolve_direct_launches(sent, AttemptState::Launched);
             }
             DirectCommandsOutcome::NotSent => {
@@ -156,8 +146,7 @@
         }
     }
 
-    /// Sets the attempts that a batch launched to the state `next`, after the batch was answered or not sent: its
-    /// launches cannot take effect later.
+    /// Sets the attempts that a batch launched to the state `next`, after the batch was answered or not sent.
     fn resolve_direct_launches(&mut self, sent: &DirectCommands, next: AttemptState) {
         let Some(machine) = self.machines.get_mut(&sent.machine) else {
             return;
@@ -166,12 +155,11 @@
             let Command::Launch { attempt, .. } = command else {
                 continue;
             };
-            machine.unreapable_attempts.remove(attempt);
-            if let Some(tracked) = machine.attempts.get_mut(attempt) {
-                tracked.has_unanswered_launch = false;
-                if tracked.state == AttemptState::DirectlyLaunched {
-                    tracked.transition_to(next);
-                }
+            let tracked = machine.attempts.get_mut(attempt);
+            if let Some(tracked) =
+                tracked.filter(|tracked| tracked.state == AttemptState::DirectlyLaunched)
+            {
+                tracked.transition_to(next);
             }
         }
     }
@@ -180,7 +168,7 @@
 impl Machine {
     /// Returns the next batch of direct commands and marks it as in flight; `None` if there is nothing to send. A
     /// suspect worker gets a batch even if it is empty, as a probe.
-    fn take_command_batch(&mut self, token: Epoch, now: Time) -> Option<CommandBatch> {
+    fn take_command_batch(&mut self, now: Time) -> Option<CommandBatch> {
         let incarnation = self.lease.newest_message.incarnation;
         let commands = self.take_direct_commands(incarnation, now);
         let is_probe = self.reachability.is_suspect();
@@ -192,7 +180,7 @@
             self.command_channel.not_before = now + PROBE_INTERVAL_MS;
         }
         Some(CommandBatch {
-            fencing_token: token,
+            fencing_token: self.token.current(),
             incarnation,
             commands,
         })
@@ -201,23 +189,30 @@
     /// Returns the launches and stops to be sent directly, and marks them as sent.
     fn take_direct_commands(&mut self, incarnation: Incarnation, now: Time) -> Vec<Command> {
         let has_reclaim_notice = self.has_reclaim_notice();
-        self.attempts
+        let allows_launch = self.token.allows_direct_launch();
+        let commands: Vec<Command> = self
+            .attempts
             .iter_mut()
             .filter_map(|(attempt, tracked)| {
-                if tracked.incarnation == incarnation && tracked.is_launchable(has_reclaim_notice) {
-                    Some(tracked.launch_directly(*attempt, now))
-                } else {
-                    tracked.stop_directly(*attempt)
+                let is_launchable =
+                    tracked.incarnation == incarnation && tracked.is_launchable(has_reclaim_notice);
+                match is_launchable {
+                    true => allows_launch.then(|| tracked.launch_directly(*attempt, now)),
+                    false => tracked.stop_directly(*attempt),
                 }
             })
-            .collect()
+            .collect();
+        let is_launch = |command: &Command| matches!(command, Command::Launch { .. });
+        if commands.iter().any(is_launch) {
+            self.token.record_direct_launch();
+        }
+        commands
     }
 }
 
 impl TrackedAttempt {
     fn launch_directly(&mut self, attempt: AttemptId, now: Time) -> Command {
         self.transition_to(AttemptState::DirectlyLaunched);
-        self.has_unanswered_launch = true;
         self.placed_at = now;
         Command::Launch {
             task: self.task,
--- a/crates/worksshunt-core/src/machines/epoch_transition.rs
+++ b/crates/worksshunt-core/src/machines/epoch_transition.rs
@@ -11,6 +11,7 @@
 
 use crate::constants::leases::EPOCH_LEASE_MS;
 use crate::jobs::JobCache;
+use crate::membership::FencingTokens;
 use crate::pages::Pages;
 use crate::records::{page_prefix, AttemptRecord};
 use crate::time::Time;
@@ -19,11 +20,13 @@
 use super::machine::{LeaderDirective, Machine, MachineSummary};
 use super::partition::Partition;
 use super::pending_updates::PendingUpdates;
+use super::worker_token::WorkerToken;
 
 /// Inputs for the beginning of an epoch.
 #[derive(Debug, Clone, Copy)]
 pub struct EpochStart<'a> {
     pub epoch: Epoch,
+    pub fencing_tokens: FencingTokens,
     /// Owner of the partition in this epoch.
     pub owner: &'a ControllerName,
     /// Records of all partitions, read from the key-value store.
@@ -49,6 +52,7 @@
         }
         retained_machines.retain(|id, _| is_owned(id) && was_owned(id));
         self.clear(now);
+        self.fencing_tokens = start.fencing_tokens;
         self.record_pages = Pages::new(page_prefix(start.epoch, start.owner), self.page_bytes);
         let mut records_by_machine: BTreeMap<&MachineId, Vec<&AttemptRecord>> = BTreeMap::new();
         let owned_records = start
@@ -107,7 +111,7 @@
         now: Time,
     ) -> Machine {
         let newest = self.heartbeat_history.newest_message(id);
-        let mut machine = Machine::new(newest, renewed_at, now);
+        let mut machine = Machine::new(newest, renewed_at, self.fencing_tokens, now);
         for record in records {
             let job = job_cache
                 .get(record.task.job)
@@ -160,6 +164,7 @@
         }
         // A batch in flight carries the previous token: its outcome will not be applied, but it may still take effect.
         machine.command_channel.has_batch_in_flight = false;
+        machine.token = WorkerToken::new(self.fencing_tokens);
         machine.directive = LeaderDirective::default();
         machine.summary = MachineSummary::default();
         machine.reachability.begin_epoch(now);
--- a/crates/worksshunt-core/src/machines/fixtures.rs
+++ b/crates/worksshunt-core/src/machines/fixtures.rs
@@ -4,6 +4,7 @@
 use worksshunt_wire::settings::Workers;
 use worksshunt_wire::MachineId;
 
+use crate::membership::FencingTokens;
 use crate::placement::PlacementParameters;
 use crate::time::Time;
 
@@ -25,7 +26,8 @@
     let limits = serde_json::from_value(limits).expect("limits");
     let mut partition = Partition::new(PlacementParameters::default(), &workers(), &limits);
     for n in 0..machines {
-        let machine = Machine::new(SequenceNumber::NONE, Time(0), Time(0));
+        let tokens = FencingTokens::default();
+        let machine = Machine::new(SequenceNumber::NONE, Time(0), tokens, Time(0));
         partition.machines.insert(machine_id(n), machine);
     }
     partition
--- a/crates/worksshunt-core/src/machines/heartbeat_response.rs
+++ b/crates/worksshunt-core/src/machines/heartbeat_response.rs
@@ -1,10 +1,11 @@
-//! Commands in the response to a heartbeat.
+//! The response to a heartbeat.
 //!
-//! They launch recorded attempts, stop attempts that are untracked or have a stop request, and reap ended ones once the
-//! worker no longer has to list them. [`heartbeats`](super::heartbeats) requests them after applying a heartbeat.
+//! Its commands launch recorded attempts, stop attempts that are untracked or have a stop request, and reap ended ones
+//! once the worker no longer has to list them. [`heartbeats`](super::heartbeats) requests it after applying a heartbeat.
 
-use worksshunt_wire::worker::{Command, Heartbeat, TaskState, TaskStatus};
+use worksshunt_wire::worker::{Command, Heartbeat, HeartbeatResponse, TaskState, TaskStatus};
 
+use crate::constants::workers::MAX_TASKS_LISTED_BY_HELD_REAPS;
 use crate::time::Time;
 
 use super::attempt::AttemptState;
@@ -13,72 +14,94 @@
 use super::task_status::listed_attempts;
 
 impl Partition {
-    /// Returns the commands for the worker that sent the heartbeat, and marks their launches as sent.
-    pub(super) fn response_commands(&mut self, heartbeat: &Heartbeat, now: Time) -> Vec<Command> {
-        let Some(machine) = self.machines.get_mut(&heartbeat.machine) else {
-            return Vec::new();
-        };
-        let mut commands: Vec<Command> = heartbeat
-            .tasks
-            .iter()
-            .filter_map(|status| machine.command_for_listed_task(status))
-            .collect();
-        machine.record_reaps(&commands);
-        let held_reaps = heartbeat
-            .tasks
-            .iter()
-            .filter(|status| machine.is_reap_held(status))
-            .count();
-        self.metrics.reaps_held.inc_by(held_reaps as u64);
+    /// Returns the response to the worker that sent the heartbeat, and marks its launches as sent. `None` if the machine
+    /// is not in the partition.
+    pub(super) fn response(
+        &mut self,
+        heartbeat: &Heartbeat,
+        now: Time,
+    ) -> Option<HeartbeatResponse> {
+        let machine = self.machines.get_mut(&heartbeat.machine)?;
+        let mut commands = machine.stops(heartbeat);
+        let reaps = machine.reaps(heartbeat);
+        if machine.must_hold_reaps(heartbeat) {
+            self.metrics.reaps_held.inc_by(reaps.len() as u64);
+        } else if !reaps.is_empty() {
+            machine.token.raise_for_reap();
+            machine.record_reaps(&reaps);
+            commands.extend(reaps);
+        }
         machine.push_launches(heartbeat, now, &mut commands);
-        commands
+        Some(HeartbeatResponse {
+            fencing_token: machine.token.current(),
+            commands,
+        })
     }
 }
 
 impl Machine {
-    /// Whether a listed attempt has ended and is not reaped because a launch of it may still arrive.
-    fn is_reap_held(&self, status: &TaskStatus) -> bool {
-        let attempt = &status.attempt;
-        status.state == TaskState::Ended
-            && match self.attempts.get(attempt) {
-                Some(tracked) => tracked.is_completion_durable && tracked.has_unanswered_launch,
-                None => self.unreapable_attempts.contains_key(attempt),
-            }
-    }
-
-    fn record_reaps(&mut self, commands: &[Command]) {
-        for command in commands {
-            if let Command::Reap { attempt, .. } = command {
-                self.reap_history.record_reap(*attempt);
-            }
-        }
+    /// Stops of the listed tasks that are to be stopped.
+    fn stops(&self, heartbeat: &Heartbeat) -> Vec<Command> {
+        heartbeat
+            .tasks
+            .iter()
+            .filter_map(|status| self.stop_of(status))
+            .collect()
     }
 
-    /// The stop or reap command for a listed task, if it needs one.
-    fn command_for_listed_task(&self, status: &TaskStatus) -> Option<Command> {
-        let (task, attempt) = (status.task, status.attempt);
-        let tracked = self.attempts.get(&attempt);
+    fn stop_of(&self, status: &TaskStatus) -> Option<Command> {
         if status.state == TaskState::Ended {
-            // The worker must list a completed attempt until the completion is durable, and remember any ended attempt
-            // of which a launch may still arrive: it would start it again.
-            let is_reapable = match tracked {
-                Some(tracked) => tracked.is_completion_durable && !tracked.has_unanswered_launch,
-                None => !self.unreapable_attempts.contains_key(&attempt),
-            };
-            return is_reapable.then_some(Command::Reap { task, attempt });
+            return None;
         }
         // An untracked task is stopped without grace.
-        let grace_s = tracked.map_or(Some(0.0), |tracked| tracked.stop_grace_s())?;
+        let grace_s = self
+            .attempts
+            .get(&status.attempt)
+            .map_or(Some(0.0), |tracked| tracked.stop_grace_s())?;
         if status.state == TaskState::Saving && grace_s > 0.0 {
             return None;
         }
         Some(Command::Halt {
-            task,
-            attempt,
+            task: status.task,
+            attempt: status.attempt,
             grace_s,
         })
     }
 
+    /// Reaps of the listed attempts that have ended. A completed one must be listed until its completion is durable.
+    fn reaps(&self, heartbeat: &Heartbeat) -> Vec<Command> {
+        let is_reapable = |status: &&TaskStatus| {
+            status.state == TaskState::Ended
+                && self
+                    .attempts
+                    .get(&status.attempt)
+                    .is_none_or(|tracked| tracked.is_completion_durable)
+        };
+        let reapable = heartbeat.tasks.iter().filter(is_reapable);
+        reapable
+            .map(|status| Command::Reap {
+                task: status.task,
+                attempt: status.attempt,
+            })
+            .collect()
+    }
+
+    /// Whether reaps wait for the answer to the batch in flight, whose launches the worker would refuse after the raise
+    /// of its token. They do not wait while the worker lists many tasks, which bounds its heartbeats.
+    fn must_hold_reaps(&self, heartbeat: &Heartbeat) -> bool {
+        self.token.needs_raise_for_reap()
+            && self.command_channel.has_batch_in_flight
+            && heartbeat.tasks.len() <= MAX_TASKS_LISTED_BY_HELD_REAPS
+    }
+
+    fn record_reaps(&mut self, reaps: &[Command]) {
+        for command in reaps {
+            if let Command::Reap { attempt, .. } = command {
+                self.reap_history.record_reap(*attempt);
+            }
+        }
+    }
+
     /// Adds the launches of attempts that are meant for the worker's current incarnation.
     fn push_launches(&mut self, heartbeat: &Heartbeat, now: Time, commands: &mut Vec<Command>) {
         let listed = listed_attempts(heartbeat);
--- a/crates/worksshunt-core/src/machines/heartbeats.rs
+++ b/crates/worksshunt-core/src/machines/heartbeats.rs
@@ -7,8 +7,8 @@
 
 use worksshunt_wire::cloud::Catalog;
 use worksshunt_wire::peer::AttemptOutcome;
-use worksshunt_wire::worker::{Command, Heartbeat};
-use worksshunt_wire::{Epoch, Incarnation, MachineId};
+use worksshunt_wire::worker::{Heartbeat, HeartbeatResponse};
+use worksshunt_wire::{Incarnation, MachineId};
 
 use crate::metrics::DeliveryLabel;
 use crate::time::Time;
@@ -23,8 +23,8 @@
 /// Result of processing a heartbeat; determines the response.
 #[derive(Debug, Clone, PartialEq)]
 pub enum HeartbeatOutcome {
-    /// The lease renewal is recorded; the response renews the lease and carries these commands.
-    Accepted(Vec<Command>),
+    /// The lease renewal is recorded, and this response renews the lease.
+    Accepted(HeartbeatResponse),
     /// No renewal is recorded; the response must not renew the lease.
     Rejected,
 }
@@ -45,7 +45,6 @@
         &mut self,
         now: Time,
         heartbeat: &Heartbeat,
-        epoch: Epoch,
         catalog: &Catalog,
     ) -> HeartbeatOutcome {
         let id = &heartbeat.machine;
@@ -70,23 +69,28 @@
             ArrivalOrder::OutOfOrder => {
                 tracing::info!(machine = %id, %sequence_number, %newest_message, "out-of-order heartbeat accepted, lease renewed");
                 machine.lease.record_renewal(sequence_number, now);
-                return HeartbeatOutcome::Accepted(Vec::new());
+                return HeartbeatOutcome::Accepted(HeartbeatResponse {
+                    fencing_token: machine.token.current(),
+                    commands: Vec::new(),
+                });
             }
             ArrivalOrder::Newest => machine.lease.record_renewal(sequence_number, now),
         }
-        self.apply_message(heartbeat, MessageKind::Heartbeat, epoch, catalog, now);
-        let commands = self.response_commands(heartbeat, now);
-        for command in &commands {
+        self.apply_message(heartbeat, MessageKind::Heartbeat, catalog, now);
+        let Some(response) = self.response(heartbeat, now) else {
+            return HeartbeatOutcome::Rejected;
+        };
+        for command in &response.commands {
             self.metrics.count_command(command, DeliveryLabel::Response);
-            tracing::debug!(machine = %heartbeat.machine, token = %epoch, %sequence_number, %command, "command sent with heartbeat response");
+            tracing::debug!(machine = %heartbeat.machine, token = %response.fencing_token, %sequence_number, %command, "command sent with heartbeat response");
         }
-        HeartbeatOutcome::Accepted(commands)
+        HeartbeatOutcome::Accepted(response)
     }
 
     /// Adds a machine to the partition that has sent a heartbeat and is not in it.
     fn register(&mut self, id: &MachineId, now: Time) {
         let newest = self.heartbeat_history.newest_message(id);
-        let mut machine = Machine::new(newest, now, now);
+        let mut machine = Machine::new(newest, now, self.fencing_tokens, now);
         if newest != SequenceNumber::NONE {
             // The machine was removed earlier, so this may be a delayed message of a worker that is no longer there.
             machine.reachability.mark_suspect(now);
@@ -100,7 +104,6 @@
         &mut self,
         heartbeat: &Heartbeat,
         kind: MessageKind,
-        epoch: Epoch,
         catalog: &Catalog,
         now: Time,
     ) {
@@ -112,7 +115,7 @@
         if SequenceNumber::of(heartbeat) <= machine.lease.newest_message {
             return;
         }
-        let has_current_token = heartbeat.fencing_token >= epoch;
+        let has_current_token = heartbeat.fencing_token >= self.fencing_tokens.first;
         if kind == MessageKind::Heartbeat {
             machine.assess_reachability(heartbeat, has_current_token, timeouts, now);
         }
@@ -177,8 +180,7 @@
 
     /// Applies the part of a message that is about the machine itself.
     fn apply_machine_status(&mut self, heartbeat: &Heartbeat, catalog: &Catalog, now: Time) {
-        self.unreapable_attempts
-            .retain(|_, incarnation| *incarnation >= heartbeat.incarnation);
+        self.token.observe(heartbeat.fencing_token);
         if heartbeat.incarnation > self.lease.newest_message.incarnation {
             self.reap_history = ReapHistory::default();
         }
--- a/crates/worksshunt-core/src/machines/heartbeats/tests.rs
+++ b/crates/worksshunt-core/src/machines/heartbeats/tests.rs
@@ -1,6 +1,9 @@
 //! Tests of `heartbeats`: which heartbeats are accepted.
 
+use worksshunt_wire::FencingToken;
+
 use crate::machines::fixtures::{self, machine_id};
+use crate::membership::FencingTokens;
 
 use super::*;
 
@@ -16,20 +19,30 @@
 /// A partition that has received heartbeat 5 of machine 0 and then a response to commands with number 7.
 fn partition() -> Partition {
     let mut partition = fixtures::partition(0);
+    partition.fencing_tokens = FencingTokens {
+        first: FencingToken(1),
+        last: FencingToken(1),
+    };
     let catalog = Catalog::default();
-    partition.process_heartbeat(Time(1_000), &heartbeat(5), Epoch(1), &catalog);
+    partition.process_heartbeat(Time(1_000), &heartbeat(5), &catalog);
     partition.apply_message(
         &heartbeat(7),
         MessageKind::CommandResponse,
-        Epoch(1),
         &catalog,
         Time(2_000),
     );
     partition
 }
 
+fn accepted_without_commands() -> HeartbeatOutcome {
+    HeartbeatOutcome::Accepted(HeartbeatResponse {
+        fencing_token: FencingToken(1),
+        commands: Vec::new(),
+    })
+}
+
 fn process(partition: &mut Partition, number: u64, now: Time) -> HeartbeatOutcome {
-    partition.process_heartbeat(now, &heartbeat(number), Epoch(1), &Catalog::default())
+    partition.process_heartbeat(now, &heartbeat(number), &Catalog::default())
 }
 
 #[test]
@@ -37,7 +50,7 @@
     let mut partition = partition();
     assert_eq!(
         process(&mut partition, 6, Time(3_000)),
-        HeartbeatOutcome::Accepted(Vec::new())
+        accepted_without_commands()
     );
     assert_eq!(
         process(&mut partition, 6, Time(3_100)),
@@ -68,6 +81,6 @@
     }
     assert_eq!(
         process(&mut self::partition(), 8, Time(3_100)),
-        HeartbeatOutcome::Accepted(Vec::new())
+        accepted_without_commands()
     );
 }
--- a/crates/worksshunt-core/src/machines/machine.rs
+++ b/crates/worksshunt-core/src/machines/machine.rs
@@ -8,12 +8,13 @@
 use worksshunt_wire::cloud::Catalog;
 use worksshunt_wire::settings::Workers;
 use worksshunt_wire::worker::Heartbeat;
-use worksshunt_wire::{AttemptId, Incarnation, JobId};
+use worksshunt_wire::{AttemptId, JobId};
 
 use crate::constants::readiness::UNREACHABLE_HEARTBEAT_INTERVALS;
 use crate::constants::workers::{
     FAILED_JOBS_BEFORE_FAULTY, MISSED_HEARTBEAT_INTERVALS, UNREACHABLE_RELEASE_LEASES,
 };
+use crate::membership::FencingTokens;
 use crate::resources::Resources;
 use crate::time::Time;
 
@@ -22,6 +23,7 @@
 use super::sequence_number::SequenceNumber;
 use super::unexpected_attempts::ReapHistory;
 use super::worker_lease::{max_worker_lease_ms, WorkerLease};
+use super::worker_token::WorkerToken;
 
 /// Immutable properties of a machine, reported by its worker.
 #[derive(Debug, Clone, PartialEq)]
@@ -128,9 +130,7 @@
     pub is_lost: bool,
     pub reachability: WorkerReachability,
     pub command_channel: CommandChannel,
-    /// Ended attempts that must not be reaped: an unanswered direct launch could still arrive and start them again. The
-    /// value is the incarnation to which the launch was sent.
-    pub unreapable_attempts: BTreeMap<AttemptId, Incarnation>,
+    pub token: WorkerToken,
     pub reap_history: ReapHistory,
     /// When the cloud reclaims the machine; `None` without a reclaim notice.
     pub reclaim_at: Option<Time>,
@@ -148,15 +148,20 @@
 
 impl Machine {
     /// A machine whose worker's lease was renewed at `renewed_at` at the latest. `newest` is the newest message
-    /// received from it, or [`SequenceNumber::NONE`].
-    pub fn new(newest: SequenceNumber, renewed_at: Time, now: Time) -> Machine {
+    /// received from it, or [`SequenceNumber::NONE`]. `tokens` are those of the epoch.
+    pub fn new(
+        newest: SequenceNumber,
+        renewed_at: Time,
+        tokens: FencingTokens,
+        now: Time,
+    ) -> Machine {
         Machine {
             info: None,
             lease: WorkerLease::new(newest, renewed_at),
             is_lost: false,
             reachability: WorkerReachability::unconfirmed(now),
             command_channel: CommandChannel::default(),
-            unreapable_attempts: BTreeMap::new(),
+            token: WorkerToken::new(tokens),
             reap_history: ReapHistory::default(),
             reclaim_at: None,
             directive: LeaderDirective::default(),
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -1,8 +1,10 @@
 //! The machines of this controller's partition and the attempts on them.
 //!
-//! Two rules prevent a task from running twice:
+//! Three rules prevent a task from running twice:
 //!
 //! - The launch of an attempt is sent only after its record is durable in the key-value store.
+//! - A reap is sent only under a higher fencing token than every direct launch sent to the worker, so no copy of such a
+//!   launch takes effect after it.
 //! - An attempt is considered ended only if a heartbeat that cannot predate the launch does not list it, the worker has
 //!   a later incarnation, the worker's lease has expired by its latest possible renewal, or the cloud has confirmed the
 //!   machine's termination.
@@ -30,6 +32,7 @@
 mod task_status;
 mod unexpected_attempts;
 mod worker_lease;
+mod worker_token;
 
 pub use commands::{DirectCommands, DirectCommandsOutcome};
 pub(crate) use epoch_transition::EpochStart;
--- a/crates/worksshunt-core/src/machines/partition.rs
+++ b/crates/worksshunt-core/src/machines/partition.rs
@@ -10,6 +10,7 @@
 use worksshunt_wire::settings::{KeyValueLimits, Workers};
 use worksshunt_wire::{AttemptId, JobId, MachineId, Revision};
 
+use crate::membership::FencingTokens;
 use crate::metrics::WorkerMetrics;
 use crate::pages::{max_page_bytes, PageWrite, Pages};
 use crate::placement::{OverCapacityCounts, PlacementParameters, Speed};
@@ -31,6 +32,8 @@
 pub struct Partition {
     pub(super) placement_parameters: PlacementParameters,
     pub(super) timeouts: MachineTimeouts,
+    /// Fencing tokens of the epoch.
+    pub(super) fencing_tokens: FencingTokens,
     /// Maximum bytes of a page of records; a change applies from the next epoch on.
     pub(super) page_bytes: usize,
     pub(super) machines: BTreeMap<MachineId, Machine>,
@@ -63,6 +66,7 @@
         Partition {
             placement_parameters: parameters,
             timeouts: MachineTimeouts::new(workers),
+            fencing_tokens: FencingTokens::default(),
             page_bytes,
             machines: BTreeMap::new(),
             sweep_cursor: None,
--- a/crates/worksshunt-core/src/machines/unexpected_attempts/tests.rs
+++ b/crates/worksshunt-core/src/machines/unexpected_attempts/tests.rs
@@ -2,9 +2,10 @@
 
 use serde_json::json;
 use worksshunt_wire::cloud::Catalog;
-use worksshunt_wire::Epoch;
+use worksshunt_wire::FencingToken;
 
 use crate::machines::fixtures::{self, machine_id};
+use crate::membership::FencingTokens;
 use crate::time::Time;
 
 use super::*;
@@ -20,10 +21,13 @@
 
 impl Fixture {
     fn new() -> Fixture {
-        let mut fixture = Fixture {
-            partition: fixtures::partition(0),
-            number: 0,
+        let mut partition = fixtures::partition(0);
+        partition.fencing_tokens = FencingTokens {
+            first: FencingToken(TOKEN),
+            last: FencingToken(TOKEN),
         };
+        let number = 0;
+        let mut fixture = Fixture { partition, number };
         fixture.process(TOKEN, &[]);
         fixture
     }
@@ -43,8 +47,7 @@
         let heartbeat = serde_json::from_value(heartbeat).expect("a heartbeat");
         let now = Time(self.number * 1_000);
         let catalog = Catalog::default();
-        self.partition
-            .process_heartbeat(now, &heartbeat, Epoch(TOKEN), &catalog);
+        self.partition.process_heartbeat(now, &heartbeat, &catalog);
     }
 
     fn count(&self, reason: UnexpectedAttemptLabel) -> u64 {
--- a/crates/worksshunt-core/src/membership.rs
+++ b/crates/worksshunt-core/src/membership.rs
@@ -8,6 +8,7 @@
 //! [`Membership`] is a state machine without I/O: the controller sends the requests and passes their responses to it.
 
 mod control_keys;
+mod fencing_tokens;
 mod proposals;
 mod records;
 
@@ -19,10 +20,11 @@
 use crate::constants::leases::EPOCH_LEASE_MS;
 use crate::time::Time;
 
+pub use fencing_tokens::FencingTokens;
 pub use records::{member_key, EpochRecord, Member, CONTROL_KEYS_PREFIX, EPOCH_KEY};
 
 use proposals::Candidate;
-use records::{put_if_unchanged, LEASE_FIELD, READY_FIELD, SERVICES_FIELD};
+use records::{put_if_unchanged, LEASE_FIELD, READY_FIELD, SERVICES_FIELD, TOKEN_RANGE_FIELD};
 
 /// Membership state of a controller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -124,7 +126,7 @@
 
     /// Records that the attempt numbers of the current epoch are used up, so that the leader writes the next epoch.
     pub fn mark_attempts_exhausted(&mut self) {
-        self.exhausted_epoch = self.fencing_token();
+        self.exhausted_epoch = self.epoch_number();
     }
 
     /// Sets whether this controller is ready to own machines.
@@ -164,10 +166,16 @@
     }
 
     /// Number of the current epoch; 0 before the first is read.
-    pub fn fencing_token(&self) -> Epoch {
+    pub fn epoch_number(&self) -> Epoch {
         self.epoch().map_or(Epoch(0), |epoch| epoch.number)
     }
 
+    /// Fencing tokens of the current epoch; 0 is the only one before the first epoch is read.
+    pub fn fencing_tokens(&self) -> FencingTokens {
+        self.epoch()
+            .map_or(FencingTokens::default(), EpochRecord::fencing_tokens)
+    }
+
     /// Condition of every write of this epoch: the epoch's key is unchanged. `None` before an epoch is read.
     pub fn epoch_condition(&self) -> Option<ExpectedRevision> {
         self.epoch.as_ref().map(|epoch| ExpectedRevision {
@@ -218,7 +226,7 @@
     /// Changes the state, and ends the epoch lease outside an epoch. All changes of the state go through here.
     fn set_state(&mut self, next: MemberState) {
         if self.state != next {
-            tracing::info!(from = ?self.state, to = ?next, epoch = %self.fencing_token(), "member state changed");
+            tracing::info!(from = ?self.state, to = ?next, epoch = %self.epoch_number(), "member state changed");
             self.state = next;
         }
         if !self.is_in_epoch() {
@@ -250,6 +258,7 @@
             LEASE_FIELD: lease_id,
             READY_FIELD: self.readiness_being_written,
             SERVICES_FIELD: true,
+            TOKEN_RANGE_FIELD: true,
         });
         let key = member_key(&self.name);
         Some(put_if_unchanged(key, version, value, Some(lease_id)))
--- a/crates/worksshunt-core/src/membership/control_keys.rs
+++ b/crates/worksshunt-core/src/membership/control_keys.rs
@@ -8,7 +8,7 @@
 
 use super::records::{
     member_key, EpochRecord, Member, EPOCH_KEY, FIRST_RELEASE_MEMBERS_PREFIX, LEASE_FIELD,
-    MEMBERS_PREFIX, READY_FIELD, SERVICES_FIELD,
+    MEMBERS_PREFIX, READY_FIELD, SERVICES_FIELD, TOKEN_RANGE_FIELD,
 };
 use super::{MemberState, Membership, MembershipAction, StoredEpoch};
 
@@ -18,6 +18,8 @@
     pub all: Vec<Member>,
     /// Members among them that are not ready to own machines; empty if none is ready.
     pub without_partition: Vec<Member>,
+    /// Whether all of them support epochs with several fencing tokens.
+    pub all_support_token_range: bool,
 }
 
 /// Comparison of the epoch in a listing with the current epoch.
@@ -87,7 +89,10 @@
 
     /// Returns the live members, and records which controllers support services.
     fn read_members(&mut self, listing: &Listing) -> LiveMembers {
-        let mut live = LiveMembers::default();
+        let mut live = LiveMembers {
+            all_support_token_range: true,
+            ..LiveMembers::default()
+        };
         for pair in &listing.pairs {
             let Some(member) = read_member(pair) else {
                 continue;
@@ -100,6 +105,8 @@
             if pair.value.get(READY_FIELD) == Some(&Value::Bool(false)) {
                 live.without_partition.push(member.clone());
             }
+            live.all_support_token_range &=
+                pair.value.get(TOKEN_RANGE_FIELD) == Some(&Value::Bool(true));
             live.all.push(member);
         }
         if live.without_partition.len() == live.all.len() {
@@ -130,7 +137,7 @@
         }
         self.extend_epoch_lease(sent_at);
         tracing::debug!(
-            epoch = %self.fencing_token(), is_leader = self.is_leader(), revision = ?listing.revision, ?sent_at,
+            epoch = %self.epoch_number(), is_leader = self.is_leader(), revision = ?listing.revision, ?sent_at,
             "epoch confirmed by a read of the control keys"
         );
         EpochRead::Unchanged
@@ -139,7 +146,7 @@
     fn enter_epoch(&mut self, sent_at: Time, stored: StoredEpoch, own_member: &Member) {
         let record = &stored.record;
         tracing::info!(
-            epoch = %record.number, leader = %record.leader.name,
+            epoch = %record.number, first_token = %record.fencing_tokens().first, leader = %record.leader.name,
             members = record.members.len(), accepts_services = record.accepts_services, "new epoch read"
         );
         let is_member = record.members.contains(own_member);
--- a/crates/worksshunt-core/src/membership/proposals.rs
+++ b/crates/worksshunt-core/src/membership/proposals.rs
@@ -6,6 +6,7 @@
 use crate::constants::leases::READS_BEFORE_MEMBER_ADMISSION;
 
 use super::control_keys::LiveMembers;
+use super::fencing_tokens::FencingTokens;
 use super::records::{put_if_unchanged, EpochRecord, Member, EPOCH_KEY};
 use super::Membership;
 
@@ -25,8 +26,8 @@
         own_member: &Member,
         live: &LiveMembers,
     ) -> Option<CompareAndSwap> {
-        let (number, version, accepts_services) = match &self.epoch {
-            None => (Epoch(1), Revision(0), self.all_support_services()),
+        let (previous, version, accepts_services) = match &self.epoch {
+            None => (Epoch(0), Revision(0), self.all_support_services()),
             Some(epoch) => {
                 let current = &epoch.record;
                 let is_leader_alive = live.all.contains(&current.leader);
@@ -38,11 +39,13 @@
                 if is_leader_alive && !self.is_outdated(current, live, accepts_services) {
                     return None;
                 }
-                (Epoch(current.number.0 + 1), epoch.version, accepts_services)
+                (current.number, epoch.version, accepts_services)
             }
         };
+        let tokens = FencingTokens::after(previous, live.all_support_token_range);
         let record = EpochRecord {
-            number,
+            number: Epoch(tokens.last.0),
+            first_token: (tokens.first < tokens.last).then_some(tokens.first),
             leader: own_member.clone(),
             members: live.all.clone(),
             without_partition: live.without_partition.clone(),
--- a/crates/worksshunt-core/src/membership/records.rs
+++ b/crates/worksshunt-core/src/membership/records.rs
@@ -3,7 +3,9 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use worksshunt_wire::key_value::{Change, CompareAndSwap, ExpectedRevision};
-use worksshunt_wire::{ControllerName, Epoch, Revision};
+use worksshunt_wire::{ControllerName, Epoch, FencingToken, Revision};
+
+use super::fencing_tokens::FencingTokens;
 
 /// Prefix of the control keys.
 pub const CONTROL_KEYS_PREFIX: &str = "c/";
@@ -22,6 +24,9 @@
 /// Field of a member key: whether the controller supports services.
 pub(super) const SERVICES_FIELD: &str = "standing";
 
+/// Field of a member key: whether the controller supports epochs with several fencing tokens.
+pub(super) const TOKEN_RANGE_FIELD: &str = "token_range";
+
 /// Member key of a controller.
 pub fn member_key(name: &ControllerName) -> String {
     format!("{MEMBERS_PREFIX}{name}")
@@ -61,8 +66,11 @@
 /// Stored form of an epoch.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EpochRecord {
-    /// Number of the epoch, which is the fencing token.
+    /// Number of the epoch, which is the last of its fencing tokens.
     pub number: Epoch,
+    /// First fencing token of the epoch, the number of the preceding epoch plus one; `None` if `number` is the only one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub first_token: Option<FencingToken>,
     /// Leader, also listed in `members`.
     pub leader: Member,
     /// All members, ordered by name.
@@ -81,6 +89,20 @@
 }
 
 impl EpochRecord {
+    /// Fencing tokens of the epoch.
+    pub fn fencing_tokens(&self) -> FencingTokens {
+        let last = FencingToken(self.number.0);
+        FencingTokens {
+            first: self.first_token.unwrap_or(last).min(last),
+            last,
+        }
+    }
+
+    /// Number of the preceding epoch; 0 for the first one.
+    pub fn previous_number(&self) -> Epoch {
+        Epoch(self.fencing_tokens().first.0.saturating_sub(1))
+    }
+
     /// Names of the members that own machines, in the order of `members`.
     pub fn partition_owners(&self) -> Vec<ControllerName> {
         self.members
--- a/crates/worksshunt-core/src/metrics.rs
+++ b/crates/worksshunt-core/src/metrics.rs
@@ -91,7 +91,7 @@
     pub claim_records: Family<EvidenceLabels, Counter>,
     /// Jobs closed in the scheduler but open in the store that were reconciled.
     pub reconciled_jobs: Counter,
-    /// Fencing token of the controller's epoch; 0 before the first epoch.
+    /// Last fencing token of the controller's epoch; 0 before the first epoch.
     pub fencing_token: Gauge,
     /// 1 while the controller is the leader, else 0.
     pub is_leader: Gauge,
--- a/crates/worksshunt-core/src/metrics/workers.rs
+++ b/crates/worksshunt-core/src/metrics/workers.rs
@@ -73,7 +73,7 @@
     commands: Family<CommandLabels, Counter>,
     /// Attempts listed by workers that should not have them.
     unexpected_attempts: Family<UnexpectedAttemptLabels, Counter>,
-    /// Reaps of ended attempts that were not sent with a heartbeat's response because a launch could still arrive.
+    /// Reaps of ended attempts that were not sent with a heartbeat's response because direct commands were in flight.
     pub reaps_held: Counter,
     heartbeat_bytes: Histogram,
 }
@@ -105,7 +105,7 @@
         );
         registry.register(
             "reaps_held",
-            "Reaps not sent with a response because a launch could still arrive",
+            "Reaps not sent with a response because direct commands were in flight",
             self.reaps_held.clone(),
         );
         registry.register_with_unit(
--- a/crates/worksshunt-core/tests/scenarios/claims.rs
+++ b/crates/worksshunt-core/tests/scenarios/claims.rs
@@ -100,7 +100,7 @@
 }
 
 /// Returns the value of a counter or gauge in a controller's metrics; 0 if it is not listed.
-fn metric(cluster: &mut Cluster, controller: usize, name: &str) -> u64 {
+pub fn metric(cluster: &mut Cluster, controller: usize, name: &str) -> u64 {
     let response = cluster.send_and_wait(controller, Event::Metrics);
     assert_eq!(response.status, 200);
     let line = response.body.lines().find_map(|line| {
--- a/crates/worksshunt-core/tests/scenarios/combined_faults/controllers.rs
+++ b/crates/worksshunt-core/tests/scenarios/combined_faults/controllers.rs
@@ -159,7 +159,7 @@
         for interval_ms in [4_000, 7_300, 12_000] {
             let case = format!("every {interval_ms}, outages of {outage_ms}");
             let mut cluster = with_running_jobs(5, 60_000);
-            let first_epoch = cluster.epoch();
+            let first_epochs = cluster.epoch_count();
             for change in 0..10 {
                 let leader = cluster.leader();
                 cluster.restart(leader, 200 + 450 * (change % 4));
@@ -176,9 +176,9 @@
             }
             cluster.run(10_000);
             assert!(
-                cluster.epoch() >= first_epoch + 5,
+                cluster.epoch_count() >= first_epochs + 5,
                 "{case}: {}",
-                cluster.epoch()
+                cluster.epoch_count()
             );
             settle(&mut cluster, &case);
         }
--- a/crates/worksshunt-core/tests/scenarios/combined_faults/machines.rs
+++ b/crates/worksshunt-core/tests/scenarios/combined_faults/machines.rs
@@ -24,7 +24,7 @@
         let leader = cluster.leader();
         cluster.restart(leader, 400);
         cluster.run(6_000 + release_ms);
-        assert_ne!(cluster.epoch(), 1, "{case}");
+        assert_ne!(cluster.epoch_count(), 1, "{case}");
         assert!(cluster.release_heartbeats(&[0, 1, 2]) > 0, "{case}");
         cluster.run(3_000);
         cluster.faults.heartbeats.held_from.clear();
--- a/crates/worksshunt-core/tests/scenarios/controllers.rs
+++ b/crates/worksshunt-core/tests/scenarios/controllers.rs
@@ -82,7 +82,7 @@
     cluster.submit(0, &long_job(1, 24));
     cluster.until("tasks", 30_000, |cluster| cluster.running().len() == 24);
     cluster.run(3_000);
-    let (leader, epoch) = (cluster.leader(), cluster.epoch());
+    let (leader, epochs) = (cluster.leader(), cluster.epoch_count());
     cluster.faults.key_value.unreachable_from.insert(leader);
     cluster.faults.cut_from_peers.insert(leader);
     cluster.run(7_000);
@@ -99,8 +99,8 @@
     cluster.until("all tasks", 120_000, |cluster| cluster.all_done(1, 24));
     assert_eq!(cluster.task_starts.len(), 24, "no lease expired");
     assert_eq!(
-        cluster.epoch(),
-        epoch + 2,
+        cluster.epoch_count(),
+        epochs + 2,
         "one epoch without the controller, one with it again"
     );
     cluster.check();
@@ -142,7 +142,7 @@
     cluster.until("all tasks at once", 25_000, |cluster| {
         cluster.running().len() == 36
     });
-    let epoch = cluster.epoch();
+    let epochs = cluster.epoch_count();
     cluster.submit(leader, &long_job(2, 4));
     cluster.until("another machine", 10_000, |cluster| {
         cluster.workers.len() > 9
@@ -150,7 +150,7 @@
     cluster.faults.cut_from_peers.clear();
     cluster.run(20_000);
     assert!(
-        (epoch + 1..=epoch + 2).contains(&cluster.epoch()),
+        (epochs + 1..=epochs + 2).contains(&cluster.epoch_count()),
         "both controllers have rejoined"
     );
     cluster.until("all tasks", 60_000, |cluster| {
@@ -301,7 +301,7 @@
     let mut cluster = Cluster::new();
     cluster.limit_attempts(16);
     cluster.run(4_000);
-    let first_epoch = cluster.epoch();
+    let first_epochs = cluster.epoch_count();
     let workers_with_new_incarnations = |cluster: &Cluster| {
         cluster
             .workers
@@ -312,8 +312,8 @@
     cluster.submit(0, &job(1, 50));
     cluster.until("all tasks", 120_000, |cluster| cluster.all_done(1, 50));
     assert_eq!(
-        cluster.epoch(),
-        first_epoch + 3,
+        cluster.epoch_count(),
+        first_epochs + 3,
         "16, 32 and 48 of 50 attempts"
     );
     assert_eq!(cluster.task_starts.len(), 50, "each task started once");
--- a/crates/worksshunt-core/tests/scenarios/machines.rs
+++ b/crates/worksshunt-core/tests/scenarios/machines.rs
@@ -292,7 +292,11 @@
         (1..=20).all(|id| cluster.all_done(id, 400))
     });
     assert!(cluster.now < started_at + 110_000);
-    assert!(cluster.epoch() <= 6, "epoch {}", cluster.epoch());
+    assert!(
+        cluster.epoch_count() <= 6,
+        "{} epochs",
+        cluster.epoch_count()
+    );
     let extra_starts = cluster.task_starts.len() - 8_000;
     assert!(
         extra_starts < 2 * 4 * machines / 3,
--- a/crates/worksshunt-core/tests/scenarios/main.rs
+++ b/crates/worksshunt-core/tests/scenarios/main.rs
@@ -13,6 +13,7 @@
 mod mixed;
 mod placement;
 mod preemption;
+mod repeated_commands;
 mod service_capacity;
 mod services;
 mod upgrade;
--- a/crates/worksshunt-core/tests/scenarios/upgrade.rs
+++ b/crates/worksshunt-core/tests/scenarios/upgrade.rs
@@ -152,7 +152,7 @@
     cluster.run(5_000);
 }
 
-/// Checks that the epoch and the member key have only fields that production reads, except for one of the member key.
+/// Checks that the epoch and the member key have only fields that production reads, except for two of the member key.
 fn check_fields_match_production(cluster: &Cluster) {
     let production = production_store();
     let production_fields = field_names(&production["c/epoch"]);
@@ -162,7 +162,7 @@
         "fields of the epoch that production does not read"
     );
     let mut member_fields = stored_fields(cluster, "c/n/n0");
-    member_fields.retain(|field| field != "standing");
+    member_fields.retain(|field| !["standing", "token_range"].contains(&field.as_str()));
     assert_eq!(member_fields, field_names(&production["c/n/n0"]));
 }
 
@@ -247,7 +247,10 @@
     let mut epoch = cluster.stored("c/epoch").expect("an epoch").clone();
     epoch["number"] = json!(cluster.epoch() + 1);
     epoch["leader"] = json!({ "name": "n2", "hold": 9_999 });
-    epoch.as_object_mut().expect("an object").remove("standing");
+    for unknown_field in ["standing", "first_token"] {
+        let fields = epoch.as_object_mut().expect("an object");
+        fields.remove(unknown_field);
+    }
     cluster.put("c/epoch", epoch);
     cluster.run(3_000);
     assert_eq!(cluster.submit(0, &service(1, 2)).status, 503);
--- a/crates/worksshunt-core/tests/stored_records/formats.rs
+++ b/crates/worksshunt-core/tests/stored_records/formats.rs
@@ -19,7 +19,9 @@
 use worksshunt_wire::cloud::{Catalog, MachineType};
 use worksshunt_wire::key_value::{Change, KeyValue, Listing};
 use worksshunt_wire::user::{JobKind, JobSpec, JobState, Priority};
-use worksshunt_wire::{AttemptId, ControllerName, Epoch, Incarnation, JobId, Revision};
+use worksshunt_wire::{
+    AttemptId, ControllerName, Epoch, FencingToken, Incarnation, JobId, Revision,
+};
 
 use crate::{pair, store, stored, task};
 
@@ -80,6 +82,7 @@
 fn epoch_record() -> EpochRecord {
     EpochRecord {
         number: Epoch(4),
+        first_token: None,
         leader: member("n0", 71),
         members: vec![member("n0", 71), member("n1", 72), member("n2", 73)],
         without_partition: vec![member("n1", 72)],
@@ -144,7 +147,24 @@
     not_ready.process_control_keys(Time(1), &no_control_keys);
     let write = not_ready.next_member_key_write().expect("a member key");
     let (key, value) = single_put(&write.changes);
-    check_encoded(key, value);
+    // The fixture's key was written by a version that does not declare support for several fencing tokens.
+    let mut expected_value = stored(key);
+    expected_value["token_range"] = json!(true);
+    assert_eq!(value.to_string(), expected_value.to_string(), "{key}");
+}
+
+#[test]
+fn an_epoch_with_several_fencing_tokens_names_the_first_one() {
+    let mut record = epoch_record();
+    assert_eq!(record.fencing_tokens().first, FencingToken(4));
+    assert_eq!(record.previous_number(), Epoch(3));
+    record.first_token = Some(FencingToken(2));
+    let value = json!(record);
+    assert_eq!(value["first_token"], json!(2));
+    let decoded: EpochRecord = serde_json::from_value(value).expect("an epoch");
+    assert_eq!(decoded, record);
+    assert_eq!(record.fencing_tokens().last, FencingToken(4));
+    assert_eq!(record.previous_number(), Epoch(1));
 }
 
 #[test]
@@ -161,7 +181,7 @@
     reader.process_control_keys(Time(1), &no_control_keys);
     let write = reader.next_member_key_write().expect("a member key");
     let (own_key, own_value) = single_put(&write.changes);
-    let expected_value = r#"{"hold":71,"reached":true,"standing":true}"#;
+    let expected_value = r#"{"hold":71,"reached":true,"standing":true,"token_range":true}"#;
     assert_eq!(own_value.to_string(), expected_value);
     reader.record_member_key_write(Revision(2));
     let own_pair = KeyValue {
@@ -180,6 +200,7 @@
     let (key, value) = single_put(&write.changes);
     let proposed = EpochRecord {
         number: Epoch(1),
+        first_token: None,
         leader: member("n0", 71),
         members: vec![member("n0", 71), member("n2", 73)],
         without_partition: vec![member("n2", 73)],
--- a/crates/worksshunt-core/tests/stored_records/main.rs
+++ b/crates/worksshunt-core/tests/stored_records/main.rs
@@ -2,7 +2,8 @@
 //!
 //! `store.json` holds a record of every kind, one `"key": value` per line, including attempt records of the first
 //! release (`a/MACHINE`). `written.txt` holds records written by the scenarios below, one `key value` per line. A
-//! difference means that controllers of other versions cannot read the records: change the code, not the file.
+//! difference means that controllers of other versions cannot read the records: change the code, not the file. Numbers of
+//! epochs, and fields that other versions ignore, may change on purpose.
 
 mod formats;
 mod scenarios;
--- a/crates/worksshunt-measure/src/loopback/worker.rs
+++ b/crates/worksshunt-measure/src/loopback/worker.rs
@@ -13,7 +13,7 @@
 use worksshunt_net::Executor;
 use worksshunt_wire::cloud::ProvisionRequest;
 use worksshunt_wire::worker::{CommandBatch, Heartbeat};
-use worksshunt_wire::{Epoch, Incarnation, MachineId};
+use worksshunt_wire::{FencingToken, Incarnation, MachineId};
 
 use super::cloud::MACHINE_TYPE;
 use super::controllers::CONTROLLER_COUNT;
@@ -39,7 +39,7 @@
     /// Sequence number of the last heartbeat in this incarnation.
     sequence: u64,
     /// Highest epoch of the commands and responses accepted so far.
-    fencing_token: Epoch,
+    fencing_token: FencingToken,
     tasks: Tasks,
     /// Start of the lease: time at which the last answered heartbeat was sent.
     lease_renewed_at: Instant,
@@ -86,7 +86,7 @@
             state: RefCell::new(WorkerState {
                 incarnation: Incarnation(1),
                 sequence: 0,
-                fencing_token: Epoch(0),
+                fencing_token: FencingToken(0),
                 tasks: Tasks::default(),
                 lease_renewed_at: Instant::now(),
             }),
--- a/crates/worksshunt-measure/src/workload.rs
+++ b/crates/worksshunt-measure/src/workload.rs
@@ -184,7 +184,7 @@
     let epoch_before_restart = cluster.epoch();
     (0..CONTROLLER_COUNT).for_each(|controller| cluster.start(controller));
     let deadline = restarted_at + PHASE_TIMEOUT_MS;
-    while cluster.workers_with_epoch(epoch_before_restart + 1) == 0 && cluster.now < deadline {
+    while cluster.workers_with_epoch_after(epoch_before_restart) == 0 && cluster.now < deadline {
         cluster.run(SUBMISSION_INTERVAL_MS);
     }
     let total: Duration = take_handling_times(cluster).values().flatten().sum();
--- a/crates/worksshunt-net/src/worker/tests.rs
+++ b/crates/worksshunt-net/src/worker/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of `worker`: the bytes of a request, and the outcome of each response.
 
 use worksshunt_wire::worker::{Command, CommandBatch};
-use worksshunt_wire::{AttemptId, Epoch, Incarnation, JobId, TaskId};
+use worksshunt_wire::{AttemptId, FencingToken, Incarnation, JobId, TaskId};
 
 use super::*;
 use crate::test_server::{with_exchanges, Exchange, TIMEOUT};
@@ -20,7 +20,7 @@
         machine: "i-41".into(),
         address,
         batch: CommandBatch {
-            fencing_token: Epoch(5),
+            fencing_token: FencingToken(5),
             incarnation: Incarnation(3),
             commands: vec![launch],
         },
--- a/crates/worksshunt-simulation/src/heartbeats.rs
+++ b/crates/worksshunt-simulation/src/heartbeats.rs
@@ -9,10 +9,10 @@
 use crate::links::Link;
 use crate::network::PendingRequest;
 use crate::worker::{Relaunch, Worker};
-use crate::{Cluster, CONTROLLER_COUNT, HEARTBEAT_TIMEOUT_MS, INSPECTION_INTERVAL_MS};
+use crate::{Cluster, CONTROLLER_COUNT, HEARTBEAT_TIMEOUT_MS, INSPECTION_INTERVAL_MS, LEASE_MS};
 
-/// Delay of a worker's next heartbeat after it has seen a new epoch, ms.
-const NEW_EPOCH_HEARTBEAT_DELAY_MS: u64 = 500;
+/// Delay of a worker's next heartbeat after it has seen a higher fencing token, ms.
+const HIGHER_TOKEN_HEARTBEAT_DELAY_MS: u64 = 500;
 /// Delay before a worker tries the next controller, ms.
 const NEXT_CONTROLLER_DELAY_MS: u64 = 1_000;
 
@@ -234,6 +234,14 @@
 }
 
 impl Worker {
+    /// A higher token counts as a change at most once in half of the lease.
+    fn hasten_heartbeat_for_token(&mut self, now: u64) {
+        if now >= self.token_hastens_heartbeat_from {
+            self.token_hastens_heartbeat_from = now + LEASE_MS / 2;
+            self.next_heartbeat_at = now + HIGHER_TOKEN_HEARTBEAT_DELAY_MS;
+        }
+    }
+
     /// Renews the lease and executes the commands, unless the fencing token is stale. Returns the launches of reaped
     /// attempts.
     fn accept_response(
@@ -247,7 +255,7 @@
         }
         if response.fencing_token > self.fencing_token {
             self.fencing_token = response.fencing_token;
-            self.next_heartbeat_at = now + NEW_EPOCH_HEARTBEAT_DELAY_MS;
+            self.hasten_heartbeat_for_token(now);
         }
         self.lease_renewed_at = self.lease_renewed_at.max(sent_at);
         let commands = response.commands.iter();
--- a/crates/worksshunt-simulation/src/inspection.rs
+++ b/crates/worksshunt-simulation/src/inspection.rs
@@ -57,6 +57,11 @@
             .unwrap_or(0)
     }
 
+    /// Returns the number of epochs that have begun.
+    pub fn epoch_count(&self) -> usize {
+        self.key_value.store.write_count("c/epoch")
+    }
+
     /// Returns the number of attempts launched on a machine, whether or not the commands reached it.
     pub fn launches_on(&self, id: &MachineId) -> usize {
         self.launches_by_attempt
@@ -65,11 +70,11 @@
             .count()
     }
 
-    /// Returns the number of workers whose fencing token is of this epoch or a later one.
-    pub fn workers_with_epoch(&self, epoch: u64) -> usize {
+    /// Returns the number of workers that have seen a fencing token of a later epoch.
+    pub fn workers_with_epoch_after(&self, epoch: u64) -> usize {
         let workers = self.workers.values();
         workers
-            .filter(|worker| worker.fencing_token.0 >= epoch)
+            .filter(|worker| worker.fencing_token.0 > epoch)
             .count()
     }
 
--- a/crates/worksshunt-simulation/src/key_value_store.rs
+++ b/crates/worksshunt-simulation/src/key_value_store.rs
@@ -108,6 +108,12 @@
         });
     }
 
+    /// Returns the number of writes of a key.
+    pub(crate) fn write_count(&self, key: &str) -> usize {
+        let is_write = |change: &&LoggedChange| matches!(&change.event, WatchEvent::Put { key: written, .. } if written == key);
+        self.change_log.iter().filter(is_write).count()
+    }
+
     /// Returns the revision that wrote a key; 0 if the key does not exist.
     fn key_revision(&self, key: &str) -> Revision {
         self.keys
--- a/crates/worksshunt-simulation/src/random_run.rs
+++ b/crates/worksshunt-simulation/src/random_run.rs
@@ -5,12 +5,15 @@
 
 mod contended;
 mod faults;
+mod repeated_commands;
 
 use std::ops::Range;
 
 use serde_json::json;
 use worksshunt_wire::{JobId, MachineId};
 
+use repeated_commands::Repetitions;
+
 use crate::{job, long_job, Cluster, Failure, RunDigest, TrafficDigest, CONTROLLER_COUNT};
 
 /// Time before the first submission, ms.
@@ -108,6 +111,7 @@
     if is_contended {
         contended::configure(&mut cluster, &mut rng);
     }
+    let mut repetitions = Repetitions::configure(&mut cluster, seed);
     cluster.run(STARTUP_MS);
     let ends_at = cluster.now + rng.ms(40_000..120_000);
     let mut last_id = 0;
@@ -131,6 +135,9 @@
         if rng.0.u32(0..mean_steps_per_fault) == 0 {
             faults::inject(&mut cluster, &mut rng);
         }
+        if let Some(repetitions) = &mut repetitions {
+            repetitions.inject_short_outage(&mut cluster);
+        }
         let ms = rng.ms(50..1_800);
         cluster.run(ms);
     }
--- a/crates/worksshunt-simulation/src/worker.rs
+++ b/crates/worksshunt-simulation/src/worker.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use worksshunt_wire::worker::{Command, ExitReason, Heartbeat, TaskState, TaskStatus};
-use worksshunt_wire::{AttemptId, Epoch, Incarnation, MachineId, TaskId};
+use worksshunt_wire::{AttemptId, FencingToken, Incarnation, MachineId, TaskId};
 
 use crate::LEASE_MS;
 
@@ -38,7 +38,7 @@
     pub is_spot: bool,
     pub(crate) incarnation: u64,
     pub(crate) sequence: u64,
-    pub(crate) fencing_token: Epoch,
+    pub(crate) fencing_token: FencingToken,
     pub(crate) tasks: BTreeMap<AttemptId, Task>,
     /// Attempts that were reaped in this incarnation.
     reaped: BTreeSet<AttemptId>,
@@ -49,6 +49,8 @@
     /// Sequence number of the heartbeat that awaits its response.
     pub(crate) heartbeat_in_flight: Option<u64>,
     pub(crate) next_heartbeat_at: u64,
+    /// Time from which a higher fencing token causes a heartbeat again, ms.
+    pub(crate) token_hastens_heartbeat_from: u64,
     /// Whether the machine hangs: it takes no steps and handles no messages.
     pub is_hung: bool,
     /// When the machine finishes booting, ms.
@@ -64,13 +66,14 @@
             is_spot,
             incarnation: 1,
             sequence: 0,
-            fencing_token: Epoch(0),
+            fencing_token: FencingToken(0),
             tasks: BTreeMap::new(),
             reaped: BTreeSet::new(),
             controller: 0,
             lease_renewed_at: booted_at,
             heartbeat_in_flight: None,
             next_heartbeat_at: booted_at,
+            token_hastens_heartbeat_from: 0,
             is_hung: false,
             booted_at,
             provisioned_at,
--- a/crates/worksshunt-wire/src/ids.rs
+++ b/crates/worksshunt-wire/src/ids.rs
@@ -58,9 +58,13 @@
     AttemptId
 );
 number_newtype!(
-    /// Number of a leadership epoch, which also serves as the fencing token for workers.
+    /// Number of a leadership epoch, which is also the last of its fencing tokens.
     Epoch
 );
+number_newtype!(
+    /// Fencing token of a controller. Workers ignore commands with a lower token than the highest they have seen.
+    FencingToken
+);
 number_newtype!(
     /// Revision of the key-value store. As the version of a key, zero means that the key does not exist.
     Revision
--- a/crates/worksshunt-wire/src/lib.rs
+++ b/crates/worksshunt-wire/src/lib.rs
@@ -127,5 +127,6 @@
 pub mod worker;
 
 pub use ids::{
-    AttemptId, ControllerName, Epoch, Incarnation, JobId, MachineId, Revision, TaskId, TeamName,
+    AttemptId, ControllerName, Epoch, FencingToken, Incarnation, JobId, MachineId, Revision,
+    TaskId, TeamName,
 };
--- a/crates/worksshunt-wire/src/worker.rs
+++ b/crates/worksshunt-wire/src/worker.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{AttemptId, ControllerName, Epoch, Incarnation, MachineId, TaskId};
+use crate::ids::{AttemptId, ControllerName, FencingToken, Incarnation, MachineId, TaskId};
 
 /// State of a task on a machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -90,7 +90,7 @@
     pub sequence: u64,
     /// Highest fencing token that the worker has seen.
     #[serde(rename = "Vara")]
-    pub fencing_token: Epoch,
+    pub fencing_token: FencingToken,
     /// Seconds until the cloud reclaims the machine; `None` without a reclaim notice.
     #[serde(rename = "AvisoS", default)]
     pub reclaim_notice_s: Option<f64>,
@@ -155,7 +155,7 @@
 pub struct HeartbeatResponse {
     /// Fencing token of the controller. Workers ignore commands with a lower token than the highest they have seen.
     #[serde(rename = "Vara")]
-    pub fencing_token: Epoch,
+    pub fencing_token: FencingToken,
     /// Commands in order of execution.
     #[serde(rename = "Ordenes")]
     pub commands: Vec<Command>,
@@ -166,7 +166,7 @@
 pub struct CommandBatch {
     /// Fencing token of the controller.
     #[serde(rename = "Vara")]
-    pub fencing_token: Epoch,
+    pub fencing_token: FencingToken,
     /// Incarnation of the worker that the commands are for.
     #[serde(rename = "Jornada")]
     pub incarnation: Incarnation,
--- a/crates/worksshunt-wire/tests/wire_format/worker.rs
+++ b/crates/worksshunt-wire/tests/wire_format/worker.rs
@@ -4,7 +4,7 @@
     Command, CommandBatch, ExitReason, Heartbeat, HeartbeatResponse, Redirect, TaskState,
     TaskStatus,
 };
-use worksshunt_wire::{AttemptId, Epoch, Incarnation};
+use worksshunt_wire::{AttemptId, FencingToken, Incarnation};
 
 use crate::fixtures::Fixtures;
 use crate::task;
@@ -33,7 +33,7 @@
         is_spot,
         incarnation: Incarnation(3),
         sequence: 17,
-        fencing_token: Epoch(5),
+        fencing_token: FencingToken(5),
         reclaim_notice_s,
         tasks: vec![
             task_status(0, TaskState::Fetching, None, None),
@@ -73,12 +73,12 @@
     fixtures.assert_round_trip("report", heartbeat(false, None));
     fixtures.assert_decodes("report, fields absent", heartbeat(false, None));
     let response = HeartbeatResponse {
-        fencing_token: Epoch(5),
+        fencing_token: FencingToken(5),
         commands: commands(),
     };
     fixtures.assert_round_trip("answer to a report", response);
     let batch = CommandBatch {
-        fencing_token: Epoch(5),
+        fencing_token: FencingToken(5),
         incarnation: Incarnation(3),
         commands: commands(),
     };
