A copy of an owner's status gets no directives: an attempt was assigned twice

Cause: the leader ignored the content of a status that is not newer than the last one, but answered it with directives. These counted as sent with a later message than the one that the owner had received and acknowledged next, so an assignment was sent again after the owner had queued it. While the assignment waited there for room, it was queued a second time, and the same attempt was placed on two machines. Class: a request that was answered is taken to have no further effect when it arrives once more.

Fix: Scheduler::apply_status says whether it took the status; if not, the leader answers that it has no directives. An owner that gave up waiting sends a new number, so nobody waits for an answer to an old one.

The simulated cluster repeats requests between controllers (Faults::repeated_peer_requests), in every third random run too. The digests changed on purpose: a status that arrives after a later one, or from an owner without a partition, gets the answer that tells of no directives, which its sender treats like the empty directives before.

--- a/crates/worksshunt-core/src/controller/partition_sync.rs
+++ b/crates/worksshunt-core/src/controller/partition_sync.rs
@@ -63,7 +63,7 @@
     }
 
     /// Processes a partition's status and returns the leader's directives; `None` if this controller is not the
-    /// leader of the status's epoch, or may not act.
+    /// leader of the status's epoch, or may not act, or the status is not newer than the last one.
     pub(super) fn apply_partition_status(
         &mut self,
         now: Now,
@@ -75,7 +75,9 @@
         }
         let leader = self.leader.as_mut()?;
         let owner = status.owner.clone();
-        leader.scheduler.apply_status(now.steady, status);
+        if !leader.scheduler.apply_status(now.steady, status) {
+            return None;
+        }
         leader.scheduler.run_round(now, budget);
         let terminated = leader.fleet.terminated_machines();
         let directives = leader
--- a/crates/worksshunt-core/src/scheduler/partition_sync.rs
+++ b/crates/worksshunt-core/src/scheduler/partition_sync.rs
@@ -17,13 +17,16 @@
 use super::Scheduler;
 
 impl Scheduler {
-    /// Applies the changes in a partition. A message that arrives after a later one is ignored.
-    pub fn apply_status(&mut self, now: Time, status: PartitionStatus) {
+    /// Applies the changes in a partition. Returns false for a message that is ignored: its owner has no partition, or it
+    /// is a copy or arrives after a later one. Such a message must get no directives. They would count as sent with a
+    /// later message than the one that the owner acknowledges, and would be sent again after their execution.
+    #[must_use]
+    pub fn apply_status(&mut self, now: Time, status: PartitionStatus) -> bool {
         let Some(partition) = self.partitions.get_mut(&status.owner) else {
-            return;
+            return false;
         };
         if !partition.accept_message(now, &status) {
-            return;
+            return false;
         }
         for ended_attempt in &status.ended_attempts {
             self.apply_ended_attempt(now, ended_attempt);
@@ -40,6 +43,7 @@
             }
         }
         self.round.request();
+        true
     }
 
     fn apply_ended_attempt(&mut self, now: Time, ended_attempt: &EndedAttempt) {
--- a/crates/worksshunt-core/src/scheduler/partition_sync/tests.rs
+++ b/crates/worksshunt-core/src/scheduler/partition_sync/tests.rs
@@ -1,4 +1,4 @@
-//! Tests of `partition_sync`: how many directives one message holds.
+//! Tests of `partition_sync`: which directives a message holds.
 
 use serde_json::json;
 use worksshunt_wire::settings::Facts;
@@ -51,23 +51,39 @@
         partition.enqueue(Directive::MarkDurable(AttemptId(n)));
     }
     let none = || std::iter::empty();
-    scheduler.apply_status(Time(1), status(&owner, 1, 0));
+    assert!(scheduler.apply_status(Time(1), status(&owner, 1, 0)));
     let first = scheduler.directives_for(Time(1), &owner, none());
     assert_eq!(
         (first.stop_attempts.len(), first.durable_attempts.len()),
         (MAX_CHANGES_PER_SYNC, MAX_CHANGES_PER_SYNC)
     );
     // The owner acknowledges the first message.
-    scheduler.apply_status(Time(2), status(&owner, 2, first.sequence));
+    assert!(scheduler.apply_status(Time(2), status(&owner, 2, first.sequence)));
     let second = scheduler.directives_for(Time(2), &owner, none());
     assert_eq!(
         (second.stop_attempts.len(), second.durable_attempts.len()),
         (3, 3)
     );
-    scheduler.apply_status(Time(3), status(&owner, 3, second.sequence));
+    assert!(scheduler.apply_status(Time(3), status(&owner, 3, second.sequence)));
     let third = scheduler.directives_for(Time(3), &owner, none());
     assert_eq!(
         (third.stop_attempts.len(), third.durable_attempts.len()),
         (0, 0)
     );
 }
+
+#[test]
+fn a_repeated_status_is_refused_and_causes_no_directive_to_be_sent_again() {
+    let owner = ControllerName::from("n0");
+    let mut scheduler = scheduler(&owner);
+    let partition = scheduler.partitions.get_mut(&owner).expect("partition");
+    partition.enqueue(Directive::Stop(AttemptId(1)));
+    let none = || std::iter::empty();
+    assert!(scheduler.apply_status(Time(1), status(&owner, 1, 0)));
+    let first = scheduler.directives_for(Time(1), &owner, none());
+    assert_eq!(first.stop_attempts.len(), 1);
+    assert!(!scheduler.apply_status(Time(2), status(&owner, 1, 0)));
+    assert!(scheduler.apply_status(Time(3), status(&owner, 2, first.sequence)));
+    let second = scheduler.directives_for(Time(3), &owner, none());
+    assert_eq!(second.stop_attempts, Vec::new());
+}
--- a/crates/worksshunt-core/tests/scenarios/main.rs
+++ b/crates/worksshunt-core/tests/scenarios/main.rs
@@ -13,7 +13,7 @@
 mod mixed;
 mod placement;
 mod preemption;
-mod repeated_commands;
+mod repetitions;
 mod service_capacity;
 mod services;
 mod upgrade;
--- a/crates/worksshunt-core/tests/scenarios/repeated_commands.rs
+++ b/crates/worksshunt-core/tests/scenarios/repetitions.rs
@@ -1,4 +1,4 @@
-//! Direct commands that reach their worker once more after it has executed and answered them.
+//! Direct commands and requests between controllers that arrive once more after they were executed and answered.
 
 use serde_json::json;
 use worksshunt_core::constants::leases::MAX_EPOCH_BEFORE_TOKEN_RANGE;
@@ -8,7 +8,9 @@
 use crate::combined_faults::settle;
 use crate::long_job;
 use crate::services::with_running_service;
-use worksshunt_simulation::{job, service, Cluster, DelayRange, RepeatedCommands};
+use worksshunt_simulation::{
+    job, service, Cluster, DelayRange, RepeatedCommands, RepeatedPeerRequests,
+};
 
 /// Returns a cluster in which an epoch has begun and answered commands are kept for repetition.
 fn ready() -> Cluster {
@@ -287,3 +289,41 @@
     cluster.run(6_000);
     assert_eq!(unexpected_attempts(&mut cluster), 1);
 }
+
+// Guards against a leader that answers a copy of an owner's status and so assigns an attempt a second time.
+#[test]
+fn repeated_requests_between_controllers_place_no_attempt_twice() {
+    for seed in 1..=40 {
+        let mut cluster = crate::ready();
+        cluster.seed(seed);
+        cluster.capacity = 4;
+        cluster.jitter_ms = 60;
+        cluster.task_run_ms = 2_000;
+        cluster.run_spread_ms = 700;
+        cluster.faults.repeated_peer_requests = Some(RepeatedPeerRequests {
+            share: 0.5,
+            delay: DelayRange {
+                min_ms: 0,
+                max_ms: 100,
+            },
+        });
+        for id in 1..=40 {
+            let mut new_job = long_job(id, 1 + (id + seed) as u32 % 6);
+            new_job["Turno"] = json!(["urgent", "normal", "low"][id as usize % 3]);
+            cluster.submit(id as usize % 3, &new_job);
+            if id % 5 == 0 {
+                cluster.restart((id + seed) as usize % 3, 30 + 90 * (seed % 12));
+            }
+            if id % 7 == 0 {
+                let machine = cluster.workers.keys().nth((id % 3) as usize).cloned();
+                machine
+                    .iter()
+                    .for_each(|machine| cluster.hang(machine, 4_000));
+            }
+            cluster.run(500 + 90 * (seed % 12));
+        }
+        cluster.run(30_000);
+        assert!(cluster.effects("repeated peer request") > 10, "seed {seed}");
+        settle(&mut cluster, &format!("seed {seed}"));
+    }
+}
--- a/crates/worksshunt-simulation/src/events.rs
+++ b/crates/worksshunt-simulation/src/events.rs
@@ -71,6 +71,11 @@
         id: RequestId,
         request: PeerRequest,
     },
+    /// A request that was answered before arrives once more.
+    PeerRequestArrivesAgain {
+        to: usize,
+        request: PeerRequest,
+    },
     PeerDeadline {
         from: ControllerInstance,
         id: RequestId,
@@ -192,6 +197,9 @@
                 id,
                 request,
             } => self.peer_request_arrives(from, to, id, request),
+            SimulationEvent::PeerRequestArrivesAgain { to, request } => {
+                self.peer_request_arrives_again(to, request);
+            }
             SimulationEvent::PeerDeadline { from, id } => self.peer_deadline(from, id),
             SimulationEvent::CommandsArrive {
                 from,
--- a/crates/worksshunt-simulation/src/faults.rs
+++ b/crates/worksshunt-simulation/src/faults.rs
@@ -63,6 +63,15 @@
     pub share_at_controller_start: f64,
 }
 
+/// Requests between controllers that arrive once more after they were answered. Nobody waits for the answer.
+#[derive(Debug, Clone, Copy)]
+pub struct RepeatedPeerRequests {
+    /// Share of the answered requests that are repeated, 0 to 1.
+    pub share: f64,
+    /// Delay between the request and its repetition.
+    pub delay: DelayRange,
+}
+
 /// Limits on the size of transactions.
 #[derive(Debug, Clone, Copy)]
 pub struct KeyValueLimits {
@@ -175,6 +184,8 @@
     pub are_commands_held: bool,
     /// Direct commands that arrive once more after they were answered.
     pub repeated_commands: Option<RepeatedCommands>,
+    /// Requests between controllers that arrive once more.
+    pub repeated_peer_requests: Option<RepeatedPeerRequests>,
     /// Whether answered direct commands are kept for [`Cluster::repeat_commands`](crate::Cluster::repeat_commands).
     pub are_answered_commands_kept: bool,
     /// Jobs whose tasks fail on every machine.
--- a/crates/worksshunt-simulation/src/lib.rs
+++ b/crates/worksshunt-simulation/src/lib.rs
@@ -40,7 +40,7 @@
 pub use failure::Failure;
 pub use faults::{
     CloudFaults, DelayRange, DelayedWrites, Faults, HeartbeatFaults, KeyValueFaults,
-    KeyValueLimits, RepeatedCommands, ZonePartition,
+    KeyValueLimits, RepeatedCommands, RepeatedPeerRequests, ZonePartition,
 };
 pub use fixtures::{job, large_settings, long_job, service, settings};
 pub use key_value_service::KeyValueRates;
--- a/crates/worksshunt-simulation/src/peers.rs
+++ b/crates/worksshunt-simulation/src/peers.rs
@@ -58,11 +58,35 @@
             }
             return;
         };
+        self.repeat_peer_request_later(to, &request);
         self.pending_requests
             .insert(receiver, id, PendingRequest::Peer(from));
         self.dispatch(receiver, Event::PeerRequest(id, request));
     }
 
+    /// Schedules a repetition of a request, according to the faults.
+    fn repeat_peer_request_later(&mut self, to: usize, request: &PeerRequest) {
+        let Some(repeated) = self.faults.repeated_peer_requests else {
+            return;
+        };
+        if self.rng.f64() >= repeated.share {
+            return;
+        }
+        let delay_ms = self.rng.u64(repeated.delay.min_ms..=repeated.delay.max_ms);
+        let request = request.clone();
+        let arrival = SimulationEvent::PeerRequestArrivesAgain { to, request };
+        self.schedule_at(self.now + delay_ms, arrival);
+    }
+
+    /// Delivers a repetition, whose response is discarded.
+    pub(crate) fn peer_request_arrives_again(&mut self, to: usize, request: PeerRequest) {
+        if let Some(receiver) = self.current_instance(to) {
+            self.record_effect("repeated peer request");
+            let id = self.pending_requests.next_id();
+            self.dispatch(receiver, Event::PeerRequest(id, request));
+        }
+    }
+
     pub(crate) fn respond_to_peer(
         &mut self,
         from: ControllerInstance,
--- a/crates/worksshunt-simulation/src/random_run.rs
+++ b/crates/worksshunt-simulation/src/random_run.rs
@@ -5,14 +5,14 @@
 
 mod contended;
 mod faults;
-mod repeated_commands;
+mod repetitions;
 
 use std::ops::Range;
 
 use serde_json::json;
 use worksshunt_wire::{JobId, MachineId};
 
-use repeated_commands::Repetitions;
+use repetitions::Repetitions;
 
 use crate::{job, long_job, Cluster, Failure, RunDigest, TrafficDigest, CONTROLLER_COUNT};
 
--- a/crates/worksshunt-simulation/src/random_run/repeated_commands.rs
+++ b/crates/worksshunt-simulation/src/random_run/repetitions.rs
@@ -1,12 +1,12 @@
-//! Runs in which answered direct commands reach their worker once more. One seed in [`SEEDS_PER_REPEATING_RUN`] is such a
-//! run, also among the contended ones.
+//! Runs in which answered direct commands, and answered requests between controllers, arrive once more. One seed in
+//! [`SEEDS_PER_REPEATING_RUN`] is such a run, also among the contended ones.
 //!
 //! The parameters are drawn from a generator of their own, so that the other seeds keep their meaning.
 
 use super::RunRng;
-use crate::{Cluster, DelayRange, RepeatedCommands};
+use crate::{Cluster, DelayRange, RepeatedCommands, RepeatedPeerRequests};
 
-/// Number of seeds per run with repeated commands.
+/// Number of seeds per run with repetitions.
 const SEEDS_PER_REPEATING_RUN: u64 = 3;
 /// Number that distinguishes the generator's seed from that of the run.
 const GENERATOR_SALT: u64 = 0x7265_7065_6174_6564;
@@ -19,7 +19,7 @@
 /// Mean number of steps per short restart of a controller or hang of a machine.
 const MEAN_STEPS_PER_SHORT_OUTAGE: u32 = 12;
 
-/// The generator of a run with repeated commands.
+/// The generator of a run with repetitions.
 pub(super) struct Repetitions {
     rng: RunRng,
 }
@@ -39,6 +39,13 @@
             },
             share_at_controller_start: rng.one_of(&[0.0, 0.5]),
         });
+        cluster.faults.repeated_peer_requests = Some(RepeatedPeerRequests {
+            share: rng.one_of(&[0.0, 0.1, 0.5]),
+            delay: DelayRange {
+                min_ms: 0,
+                max_ms: rng.one_of(&[100, 2_000, MAX_DELAY_MS]),
+            },
+        });
         Some(Repetitions { rng })
     }
 
