--- a/crates/worksshunt-core/src/constants/capacity.rs
+++ b/crates/worksshunt-core/src/constants/capacity.rs
@@ -3,11 +3,13 @@
 /// Memory of a request in flight, bytes: an incoming request without a response, or an outgoing call.
 pub const IN_FLIGHT_REQUEST_BYTES: usize = 20_000;
 
-/// Share of the process memory for requests in flight, for direct commands and for user requests each.
+/// Share of the process memory for requests in flight, for direct commands and for user requests each. Both leave three
+/// quarters to the state of the controller.
 pub const IN_FLIGHT_REQUEST_MEMORY_SHARE: f64 = 0.125;
 
 /// Lower bound of the limit of requests in flight of each kind. Direct commands above the limit are delivered with
-/// heartbeat responses; user requests above it are refused at once.
+/// heartbeat responses; user requests above it are refused at once. This many requests
+/// take 10 MB. When many machines hang at the same time, each direct command is given up only at its timeout.
 pub const MIN_IN_FLIGHT_REQUEST_LIMIT: usize = 512;
 
 /// Delay before the listener accepts again after an accept error, milliseconds. The usual cause is a lack of sockets,
--- a/crates/worksshunt-core/src/constants/fleet.rs
+++ b/crates/worksshunt-core/src/constants/fleet.rs
@@ -17,13 +17,15 @@
 pub const MAX_MACHINES_PER_PROVISION_REQUEST: u32 = 50;
 
 /// Lower bound of the limit of pending provision requests. The limit is half of the calls per second that the leader
-/// may send to the cloud, if that is more.
+/// may send to the cloud, if that is more. The cloud responds after some 200 ms, so requests one after the other would
+/// take a second for 250 machines.
 pub const MIN_PENDING_PROVISION_LIMIT: usize = 4;
 
 /// Maximum number of machines in a release request (protocol).
 pub const MAX_MACHINES_PER_RELEASE_REQUEST: usize = 100;
 
-/// Slack of a task whose class has no objectives, seconds. The slack is the time that a task may wait.
+/// Slack of a task whose class has no objectives, seconds. The slack is the time that a task may wait. It is
+/// near the 60 s that every machine is charged for at least.
 pub const DEFAULT_SLACK_S: f64 = 60.0;
 
 /// Minimum slack of a task, seconds, however urgent it is.
--- a/crates/worksshunt-core/src/constants/job_api.rs
+++ b/crates/worksshunt-core/src/constants/job_api.rs
@@ -23,11 +23,12 @@
 /// Maximum number of tasks of a job (protocol).
 pub const MAX_TASKS_PER_JOB: u32 = 100_000;
 
-/// Maximum number of final job states that a controller caches. Others are read from the store on request.
+/// Maximum number of final job states that a controller caches. Others are read from the store on request. The cache
+/// covers a quarter of an hour at ten jobs per second.
 pub const MAX_CACHED_FINAL_STATES: usize = 10_000;
 
 /// Maximum number of closed jobs that a controller caches, for a new leader that reads records of their attempts: the
-/// jobs of several worker leases.
+/// jobs of several worker leases. At ten jobs per second they cover some minutes; each takes 600 bytes.
 pub const MAX_CACHED_CLOSED_JOBS: usize = 4_096;
 
 /// Response timeout of the command-line client, milliseconds: that of the users (protocol).
--- a/crates/worksshunt-core/src/constants/key_value.rs
+++ b/crates/worksshunt-core/src/constants/key_value.rs
@@ -4,7 +4,7 @@
 pub const KV_REQUEST_TIMEOUT_MS: u64 = 1_500;
 
 /// Milliseconds without a response after which a write that blocks other work is hedged, that is sent a second time:
-/// several times the latency of a usual response.
+/// several times the latency of a usual response. Responses usually take 10 ms, and occasionally a few hundred.
 pub const KV_HEDGE_DELAY_MS: u64 = 400;
 
 /// Maximum wait of a watch request, milliseconds. Two waits and a lost response must fit into the time for which a
@@ -40,7 +40,7 @@
 /// its record is durable, so these writes must not wait.
 pub const ATTEMPT_RECORD_WRITE_SHARE: f64 = 0.5;
 
-/// Share of the write limit for final job states and claims. A final state takes two changes.
+/// Share of the write limit for final job states and claims. A final state takes two changes, and users wait for it.
 pub const FINAL_WRITE_SHARE: f64 = 0.2;
 
 /// Backlog of final states that is logged, in seconds of writes at [`FINAL_WRITE_SHARE`]. Users should see a final
@@ -65,7 +65,8 @@
 /// Milliseconds after a refused write for which the write limit counts as exhausted.
 pub const THROTTLE_AFTER_REFUSED_WRITE_MS: u64 = 10_000;
 
-/// Minimum interval of page writes of one kind while the write limit counts as exhausted, milliseconds.
+/// Minimum interval of page writes of one kind while the write limit counts as exhausted, milliseconds: short compared
+/// with the time that a launch takes.
 pub const THROTTLED_PAGE_WRITE_INTERVAL_MS: u64 = 250;
 
 /// Maximum size of a transaction, bytes: below the store's limit of 64 KiB.
--- a/crates/worksshunt-core/src/constants/leases.rs
+++ b/crates/worksshunt-core/src/constants/leases.rs
@@ -3,7 +3,7 @@
 use worksshunt_wire::Epoch;
 
 /// Time to live of a controller's member key, milliseconds. It must exceed the slowest responses of the store; a longer
-/// one delays the failover of a failed controller's partition.
+/// one delays the failover of a failed controller's partition. The slowest responses take a few hundred milliseconds.
 pub const MEMBER_LEASE_TTL_MS: u64 = 4_000;
 
 /// Interval of lease renewals, milliseconds: three consecutive renewals may fail.
@@ -14,7 +14,8 @@
 
 /// Milliseconds for which a controller may act after it sent a request that confirmed the epoch. Three consecutive
 /// reads of the control keys may fail. A new owner assumes that the previous one may have renewed workers' leases for
-/// this long.
+/// this long. If peers do not confirm the epoch, an outage of the store may last this long plus a worker lease before a
+/// worker loses its tasks.
 pub const EPOCH_LEASE_MS: u64 = 4_000;
 
 /// Milliseconds that a controller adds to a worker's lease before it treats the lease as expired, for timers that fire
@@ -36,5 +37,5 @@
 pub const MAX_EPOCH_BEFORE_TOKEN_RANGE: Epoch = Epoch(u64::MAX / ATTEMPTS_PER_EPOCH / 2);
 
 /// Number of attempt numbers per epoch: an attempt number is the epoch number times this plus a counter. The leader
-/// begins a new epoch when they are used up.
+/// begins a new epoch when they are used up. At a thousand attempts per second they last for four and a half hours.
 pub const ATTEMPTS_PER_EPOCH: u64 = 1 << 24;
--- a/crates/worksshunt-core/src/constants/services.rs
+++ b/crates/worksshunt-core/src/constants/services.rs
@@ -17,28 +17,32 @@
 /// Minimum interval of such releases, in worker leases. It limits the damage if the machines only seem to have failed.
 pub const UNRESPONSIVE_RELEASE_INTERVAL_LEASES: f64 = 0.25;
 
-/// Cost of preempting a replica, milliseconds of lost work: more than any task loses.
+/// Cost of preempting a replica, milliseconds of lost work: one day, more than any task loses.
 pub const REPLICA_PREEMPTION_COST_MS: u64 = 86_400_000;
 
 /// Window of past service arrivals from which future ones are estimated, milliseconds: several boot times.
 pub const ARRIVAL_WINDOW_MS: u64 = 120_000;
 
-/// Minimum time over which the arrivals of a class are averaged, milliseconds.
+/// Minimum time over which the arrivals of a class are averaged, milliseconds: fewer boot times than
+/// [`ARRIVAL_WINDOW_MS`].
 pub const MIN_ARRIVAL_WINDOW_MS: u64 = 30_000;
 
 /// Share of all guaranteed processors that is held as spare capacity, on on-demand machines, while a class that has to
-/// start faster than a machine boots has had no arrivals.
+/// start faster than a machine boots has had no arrivals. It amounts to some of the smallest machines, which are cheap
+/// compared with the cost of the guarantees when they are used.
 pub const SPARE_CAPACITY_SHARE: f64 = 0.02;
 
 /// Milliseconds without a schedulable spot machine after which spot capacity counts as unavailable: longer than a
 /// delayed boot.
 pub const SPOT_UNAVAILABLE_AFTER_MS: u64 = 60_000;
 
-/// Time for whose expected arrivals of replicas capacity is reserved, in boot times. Boots may be slow or fail.
+/// Time for whose expected arrivals of replicas capacity is reserved, in boot times: a boot takes up
+/// to one and a half times the nominal time, and some machines never boot.
 pub const RESERVED_CAPACITY_BOOT_TIMES: f64 = 2.0;
 
 /// Run time after which a replica counts as stable, milliseconds: several times the time of a start.
 pub const REPLICA_STABLE_AFTER_MS: u64 = 30_000;
 
 /// Maximum backoff of a service whose replicas keep ending, milliseconds. The service is down during the backoff.
+/// Therefore it is little more than the time of a start.
 pub const MAX_REPLICA_BACKOFF_MS: u64 = 15_000;
--- a/crates/worksshunt-core/src/constants/timers.rs
+++ b/crates/worksshunt-core/src/constants/timers.rs
@@ -4,7 +4,7 @@
 pub const TICK_MS: u64 = 100;
 
 /// Time budget of a scheduling round, milliseconds. The remaining work is deferred to the next round, which leaves most
-/// of [`ROUND_INTERVAL_MS`] for responses to requests.
+/// of [`ROUND_INTERVAL_MS`] for responses to requests: it is a quarter of that interval.
 pub const ROUND_BUDGET_MS: u64 = 12;
 
 /// Interval between the beginnings of scheduling rounds, milliseconds.
--- a/crates/worksshunt-core/src/fleet/scale_out.rs
+++ b/crates/worksshunt-core/src/fleet/scale_out.rs
@@ -285,8 +285,8 @@
     })
 }
 
-/// Whether the demand waits for a spot machine of that type instead of using a more expensive on-demand one. It doesn't
-/// if the job has a deadline or if spot capacity is unavailable.
+/// Whether the demand waits for a spot machine of that type instead of using an on-demand one, which costs several times
+/// as much. It doesn't if the job has a deadline or if spot capacity is unavailable.
 fn should_wait_for_spot(demand: &Demand, machine_type: &MachineType) -> bool {
     demand.job.spec.allows_spot
         && demand.job.spec.deadline_s.is_none()
