--- a/crates/worksshunt-core/src/constants/leases.rs
+++ b/crates/worksshunt-core/src/constants/leases.rs
@@ -29,8 +29,8 @@
 /// crash-looping controller does not cause a new epoch at each start.
 pub const READS_BEFORE_MEMBER_ADMISSION: u32 = 2;
 
-/// Number of fencing tokens per epoch. A response that reaps ended attempts may raise a worker's token by one; once none
-/// is left, the worker's launches are sent only with responses.
+/// Number of fencing tokens per epoch. A response that reaps ended attempts may raise a worker's token by one; once
+/// none is left, the worker's launches are sent only with responses.
 pub const FENCING_TOKENS_PER_EPOCH: u64 = 1 << 20;
 
 /// Epochs after one with a higher number have one fencing token each, so that attempt numbers stay below 2^64.
