Upgrade runs: all teams have a limit, so that the version in production starts

Cause: the settings of the measurements give one team a guarantee without a limit.

Change: on the loopback interface such a team is limited to the whole fleet.

--- a/crates/worksshunt-measure/src/loopback/controllers.rs
+++ b/crates/worksshunt-measure/src/loopback/controllers.rs
@@ -7,11 +7,13 @@
 
 use serde_json::json;
 use worksshunt_simulation::large_settings;
+use worksshunt_wire::settings::{Settings, Team};
 
 use super::environment::{
     address, CLOUD_PORT, FIRST_CONTROLLER_PORT, HEARTBEAT_INTERVAL, KV_STORE_PORT, WORKER_LEASE,
 };
 use super::process::ProcessUsage;
+use super::TASKS_PER_MACHINE;
 use crate::MeasureError;
 
 pub const CONTROLLER_COUNT: usize = 3;
@@ -131,9 +133,19 @@
         settings.facts.workers.lease_s = WORKER_LEASE.as_secs_f64();
         settings.facts.workers.cancel_s = CANCEL_S;
         settings.facts.limits.sockets = sockets;
+        limit_all_teams(&mut settings, machines);
         let path = folder.join(format!("n{controller}.json"));
         let text = json!(settings).to_string();
         std::fs::write(&path, text).map_err(|error| MeasureError::File(path, error))?;
     }
     Ok(())
 }
+
+/// Limits the teams without a limit to the whole fleet: the version in production refuses a guarantee without a limit.
+fn limit_all_teams(settings: &mut Settings, machines: usize) {
+    let fleet_cpus = (machines * TASKS_PER_MACHINE) as f64;
+    let has_no_limit = |team: &&mut Team| team.max_cpus == 0.0;
+    for team in settings.facts.teams.iter_mut().filter(has_no_limit) {
+        team.max_cpus = fleet_cpus;
+    }
+}
