Tests: reaps are held while a batch is in flight, up to a bound

Need: that reaps wait for the answer to a batch of direct commands, and no longer than the worker lists 64 tasks, had no test of its own; a scenario's name spoke of a reap where an attempt of no owner is put on a machine.

Change: two unit tests of the response to a heartbeat; the scenario is named after what it does. No program code changed.

--- a/crates/worksshunt-core/src/machines/heartbeat_response.rs
+++ b/crates/worksshunt-core/src/machines/heartbeat_response.rs
@@ -137,3 +137,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/worksshunt-core/tests/scenarios/repetitions.rs
+++ b/crates/worksshunt-core/tests/scenarios/repetitions.rs
@@ -271,9 +271,8 @@
     cluster.check();
 }
 
-// Guards against an operator who does not learn of an attempt that was started again.
 #[test]
-fn an_attempt_that_is_on_a_machine_after_its_reap_is_counted() {
+fn an_attempt_that_no_owner_has_launched_is_counted_as_unexpected() {
     let mut cluster = ready();
     cluster.submit(0, &long_job(1, 4));
     cluster.until("all tasks", 60_000, |cluster| cluster.all_done(1, 4));
@@ -284,7 +283,6 @@
     assert!(direct_launches(&mut cluster) > 0);
     assert_eq!(unexpected_attempts(&mut cluster), 0);
     let last = cluster.task_starts.last().expect("a start").clone();
-    // An attempt number that no owner has given out.
     cluster.inject_task(&last.machine, last.task, u64::from(u32::MAX));
     cluster.run(6_000);
     assert_eq!(unexpected_attempts(&mut cluster), 1);
