Second reading: reaps without a detour, one draw of delays, names

DelayRange::draw serves delayed writes, repeated commands and repeated requests between controllers.

--- a/crates/worksshunt-core/src/controller/partition_sync.rs
+++ b/crates/worksshunt-core/src/controller/partition_sync.rs
@@ -47,10 +47,10 @@
             return;
         };
         sync.last_sent_at = now.steady;
-        let token = self.membership.epoch_number();
+        let epoch = self.membership.epoch_number();
         let status = self
             .partition
-            .next_status(now.steady, token, self.membership.name());
+            .next_status(now.steady, epoch, self.membership.name());
         if self.membership.is_leader() {
             match self.apply_partition_status(now, status, budget) {
                 Some(directives) => self.apply_leader_directives(now.steady, directives),
--- a/crates/worksshunt-core/src/machines/heartbeat_response.rs
+++ b/crates/worksshunt-core/src/machines/heartbeat_response.rs
@@ -4,6 +4,7 @@
 //! once the worker no longer has to list them. [`heartbeats`](super::heartbeats) requests it after applying a heartbeat.
 
 use worksshunt_wire::worker::{Command, Heartbeat, HeartbeatResponse, TaskState, TaskStatus};
+use worksshunt_wire::{AttemptId, TaskId};
 
 use crate::constants::workers::MAX_TASKS_LISTED_BY_HELD_REAPS;
 use crate::time::Time;
@@ -23,13 +24,15 @@
     ) -> Option<HeartbeatResponse> {
         let machine = self.machines.get_mut(&heartbeat.machine)?;
         let mut commands = machine.stops(heartbeat);
-        let reaps = machine.reaps(heartbeat);
+        let reapable = machine.reapable_attempts(heartbeat);
         if machine.must_hold_reaps(heartbeat) {
-            self.metrics.reaps_held.inc_by(reaps.len() as u64);
-        } else if !reaps.is_empty() {
+            self.metrics.reaps_held.inc_by(reapable.len() as u64);
+        } else if !reapable.is_empty() {
             machine.token.raise_for_reap();
-            machine.record_reaps(&reaps);
-            commands.extend(reaps);
+            for (task, attempt) in reapable {
+                machine.reap_history.record_reap(attempt);
+                commands.push(Command::Reap { task, attempt });
+            }
         }
         machine.push_launches(heartbeat, now, &mut commands);
         Some(HeartbeatResponse {
@@ -68,8 +71,9 @@
         })
     }
 
-    /// Reaps of the listed attempts that have ended. A completed one must be listed until its completion is durable.
-    fn reaps(&self, heartbeat: &Heartbeat) -> Vec<Command> {
+    /// The listed attempts that have ended, with their tasks. A completed one must be listed until its completion is
+    /// durable.
+    fn reapable_attempts(&self, heartbeat: &Heartbeat) -> Vec<(TaskId, AttemptId)> {
         let is_reapable = |status: &&TaskStatus| {
             status.state == TaskState::Ended
                 && self
@@ -79,10 +83,7 @@
         };
         let reapable = heartbeat.tasks.iter().filter(is_reapable);
         reapable
-            .map(|status| Command::Reap {
-                task: status.task,
-                attempt: status.attempt,
-            })
+            .map(|status| (status.task, status.attempt))
             .collect()
     }
 
@@ -94,14 +95,6 @@
             && heartbeat.tasks.len() <= MAX_TASKS_LISTED_BY_HELD_REAPS
     }
 
-    fn record_reaps(&mut self, reaps: &[Command]) {
-        for command in reaps {
-            if let Command::Reap { attempt, .. } = command {
-                self.reap_history.record_reap(*attempt);
-            }
-        }
-    }
-
     /// Adds the launches of attempts that are meant for the worker's current incarnation.
     fn push_launches(&mut self, heartbeat: &Heartbeat, now: Time, commands: &mut Vec<Command>) {
         let listed = listed_attempts(heartbeat);
--- a/crates/worksshunt-core/tests/scenarios/repetitions.rs
+++ b/crates/worksshunt-core/tests/scenarios/repetitions.rs
@@ -28,7 +28,8 @@
     }
 }
 
-/// Repeats the commands until all jobs have ended, and checks that no repetition started a task.
+/// Repeats the commands for a duration, ms, waits until all jobs have ended, and checks the invariants, of which one is
+/// that no reaped attempt is launched again.
 fn repeat_and_check(cluster: &mut Cluster, duration_ms: u64, case: &str) {
     repeat_for(cluster, duration_ms);
     assert!(cluster.effects("repeated commands") > 0, "{case}");
--- a/crates/worksshunt-simulation/src/commands.rs
+++ b/crates/worksshunt-simulation/src/commands.rs
@@ -68,7 +68,7 @@
             self.commands_repeated_at_start.push(commands.clone());
             return;
         }
-        let delay_ms = self.rng.u64(repeated.delay.min_ms..=repeated.delay.max_ms);
+        let delay_ms = repeated.delay.draw(&mut self.rng);
         let arrival = SimulationEvent::CommandsArriveAgain(commands.clone());
         self.schedule_at(self.now + delay_ms, arrival);
     }
@@ -84,8 +84,8 @@
 
     /// Delivers commands that were answered before. Nobody waits for the answer.
     pub(crate) fn commands_arrive_again(&mut self, commands: &DirectCommands) {
-        let is_executed = self.deliver_batch(commands).is_some();
-        if is_executed {
+        let is_answered = self.deliver_batch(commands).is_some();
+        if is_answered {
             self.record_effect("repeated commands");
         }
     }
--- a/crates/worksshunt-simulation/src/faults.rs
+++ b/crates/worksshunt-simulation/src/faults.rs
@@ -25,6 +25,11 @@
         min_ms: 0,
         max_ms: 0,
     };
+
+    /// Draws a delay from the range, ms.
+    pub(crate) fn draw(self, rng: &mut fastrand::Rng) -> u64 {
+        rng.u64(self.min_ms..=self.max_ms)
+    }
 }
 
 /// Transactions that get no response and are applied after a delay, which may be zero.
--- a/crates/worksshunt-simulation/src/key_value_service.rs
+++ b/crates/worksshunt-simulation/src/key_value_service.rs
@@ -119,7 +119,7 @@
             return false;
         }
         self.record_effect("write delayed");
-        let delay_ms = self.rng.u64(delayed.delay.min_ms..=delayed.delay.max_ms);
+        let delay_ms = delayed.delay.draw(&mut self.rng);
         let arrival = SimulationEvent::DelayedWriteArrives(write.clone());
         self.schedule_at(self.now + delay_ms, arrival);
         true
--- a/crates/worksshunt-simulation/src/peers.rs
+++ b/crates/worksshunt-simulation/src/peers.rs
@@ -72,7 +72,7 @@
         if self.rng.f64() >= repeated.share {
             return;
         }
-        let delay_ms = self.rng.u64(repeated.delay.min_ms..=repeated.delay.max_ms);
+        let delay_ms = repeated.delay.draw(&mut self.rng);
         let request = request.clone();
         let arrival = SimulationEvent::PeerRequestArrivesAgain { to, request };
         self.schedule_at(self.now + delay_ms, arrival);
