--- /dev/null
+++ b/review/run-case-2.sh
@@ -0,0 +1,35 @@
+#!/usr/bin/env bash
+# Runs one case of the second review: run-case-2.sh CASE FOLDER. Exits with 1 if the rule was broken, 0 if it held, 2 if
+# the case could not run. TROUBLE=0 leaves the disruption out.
+set -u
+case_name=$1
+folder=$(cd "$2" && pwd) || exit 2
+cd "$(dirname "$0")/.." || exit 2
+standins=target/review-2/release/standins-2
+read -r -a program < <(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/service.toml)
+if [ ! -x "$standins" ] || [ ! -x "${program[0]:-}" ]; then
+    echo "build the program of deploy/service.toml and run review/build-2.sh first" >&2
+    exit 2
+fi
+temporary=$(mktemp -d) || exit 2
+# Ends the controllers that this run started, if it was interrupted before it ended them itself.
+finish() {
+    [ -n "${standins_pid:-}" ] && kill -9 "$standins_pid" 2>/dev/null
+    while read -r pid; do
+        if tr '\0' ' ' <"/proc/$pid/cmdline" 2>/dev/null | grep -qF "$temporary"; then
+            kill -9 "$pid" 2>/dev/null
+        fi
+    done < <(cat "$temporary/pids" 2>/dev/null)
+    rm -rf "$temporary"
+}
+trap finish EXIT
+trap 'exit 2' INT TERM
+"$standins" "$case_name" "$folder" "$temporary" "${program[@]}" &
+standins_pid=$!
+wait "$standins_pid"
+code=$?
+standins_pid=
+case $code in
+0 | 1) exit "$code" ;;
+*) exit 2 ;;
+esac
