Second review, case 8: a job without an estimate gets no machine

Cause: machines are provisioned for the estimated work only. With an estimate of 0 none is asked for, also if there is no machine at all.

Change: the case, and the stand-ins of it and of case 5. Nothing is fixed.

--- a/review/run-case-2.sh
+++ b/review/run-case-2.sh
@@ -16,7 +16,7 @@
 finish() {
     [ -n "${standins_pid:-}" ] && kill -9 "$standins_pid" 2>/dev/null
     while read -r pid; do
-        if tr '\0' ' ' <"/proc/$pid/cmdline" 2>/dev/null | grep -qF "$temporary"; then
+        if [ -r "/proc/$pid/cmdline" ] && tr '\0' ' ' <"/proc/$pid/cmdline" | grep -qF "$temporary"; then
             kill -9 "$pid" 2>/dev/null
         fi
     done < <(cat "$temporary/pids" 2>/dev/null)
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -7,8 +7,10 @@
 mod large_job;
 mod long_list;
 mod many_tasks;
+mod no_estimate;
 mod platform;
 mod record;
+mod same_place;
 mod store;
 mod users;
 mod world;
@@ -62,6 +64,8 @@
     let code = match arguments[1].as_str() {
         "long-list" => long_list::run(&setup),
         "large-job" => large_job::run(&setup),
+        "no-estimate" => no_estimate::run(&setup),
+        "same-place" => same_place::run(&setup),
         "many-tasks" => many_tasks::run(&setup),
         other => {
             eprintln!("no case {other}");
