--- a/review/run-case-2.sh
+++ b/review/run-case-2.sh
@@ -1,9 +1,14 @@
 #!/usr/bin/env bash
-# Runs one case of the second review: run-case-2.sh CASE FOLDER. Exits with 1 if the rule was broken, 0 if it held, 2 if
-# the case could not run. TROUBLE=0 leaves the disruption out.
+# Runs one case of the second review: run-case-2.sh CASE FOLDER with|without, the last for the disruption. Exits with 1
+# if the rule was broken, 0 if it held, 2 if the case could not run. The run.sh of each case calls it.
 set -u
+if [ $# -ne 3 ]; then
+    echo "usage: run-case-2.sh CASE FOLDER with|without" >&2
+    exit 2
+fi
 case_name=$1
 folder=$(cd "$2" && pwd) || exit 2
+disruption=$3
 cd "$(dirname "$0")/.." || exit 2
 standins=target/review-2/release/standins-2
 read -r -a program < <(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/service.toml)
@@ -24,7 +29,7 @@
 }
 trap finish EXIT
 trap 'exit 2' INT TERM
-"$standins" "$case_name" "$folder" "$temporary" "${program[@]}" &
+"$standins" "$case_name" "$disruption" "$folder" "$temporary" "${program[@]}" &
 standins_pid=$!
 wait "$standins_pid"
 code=$?
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,6 +1,6 @@
-//! The cases of the second review. `standins-2 CASE FOLDER TEMPORARY PROGRAM...` runs one: it writes `record.txt` into
-//! FOLDER, settings and logs into TEMPORARY, and starts the controllers with the command PROGRAM and a settings file.
-//! `TROUBLE=0` leaves the disruption out. Exit code: 0 the rule held, 1 it was broken, 2 the case could not run.
+//! The cases of the second review. `standins-2 CASE with|without FOLDER TEMPORARY PROGRAM...` runs one, with or without
+//! its disruption: it writes `record.txt` into FOLDER, settings and logs into TEMPORARY, and starts the controllers with
+//! the command PROGRAM and a settings file. Exit code: 0 the rule held, 1 it was broken, 2 the case could not run.
 
 mod http;
 mod json;
@@ -39,21 +39,26 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    if arguments.len() < 5 {
-        eprintln!("usage: standins-2 CASE FOLDER TEMPORARY PROGRAM...");
+    let disruption = arguments.get(2).map(String::as_str);
+    if arguments.len() < 6 || !matches!(disruption, Some("with" | "without")) {
+        eprintln!("usage: standins-2 CASE with|without FOLDER TEMPORARY PROGRAM...");
         exit(NOT_RUN);
     }
-    let Ok(record) = Record::create(&Path::new(&arguments[2]).join("record.txt")) else {
+    let Ok(record) = Record::create(&Path::new(&arguments[3]).join("record.txt")) else {
         eprintln!("cannot write record.txt");
         exit(NOT_RUN);
     };
     let record = Arc::new(record);
     let setup = Setup {
-        program: &arguments[4..],
-        temporary: Path::new(&arguments[3]),
+        program: &arguments[5..],
+        temporary: Path::new(&arguments[4]),
         record: Arc::clone(&record),
-        has_trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
+        has_trouble: disruption == Some("with"),
     };
+    record.say(match setup.has_trouble {
+        true => "with the disruption",
+        false => "without the disruption",
+    });
     let watched = Arc::clone(&record);
     std::thread::spawn(move || {
         std::thread::sleep(LONGEST_RUN);
