Simulation: workers and checks know all resources of tasks

Need: the simulated worker counted tasks, at most four, and the check for waiting jobs knew processors only. A task without processors, or with all the memory of a machine, could not be simulated.

Change: a worker refuses a task that its free processors and memory don't fit, by the job's specification, as the protocol says; the check for jobs that wait beside free room counts all resources. Both are stricter for wide tasks.

--- a/crates/worksshunt-simulation/src/heartbeats.rs
+++ b/crates/worksshunt-simulation/src/heartbeats.rs
@@ -8,7 +8,7 @@
 use crate::events::{ControllerInstance, SentHeartbeat, SimulationEvent};
 use crate::links::Link;
 use crate::network::PendingRequest;
-use crate::worker::{Relaunch, Worker};
+use crate::worker::{JobSpecs, Relaunch, Worker};
 use crate::{Cluster, CONTROLLER_COUNT, HEARTBEAT_TIMEOUT_MS, INSPECTION_INTERVAL_MS, LEASE_MS};
 
 /// Delay of a worker's next heartbeat after it has seen a higher fencing token, ms.
@@ -185,7 +185,8 @@
         match response.status {
             STATUS_OK => {
                 let body: HeartbeatResponse = serde_json::from_str(&response.body).expect("JSON");
-                let relaunched = worker.accept_response(now, sent.sent_at, &body);
+                let jobs = &self.invariants.jobs;
+                let relaunched = worker.accept_response(now, sent.sent_at, &body, jobs);
                 self.record_relaunches(id, relaunched);
             }
             STATUS_MISDIRECTED => {
@@ -249,6 +250,7 @@
         now: u64,
         sent_at: u64,
         response: &HeartbeatResponse,
+        jobs: &JobSpecs,
     ) -> Vec<Relaunch> {
         if response.fencing_token < self.fencing_token {
             return Vec::new();
@@ -260,7 +262,7 @@
         self.lease_renewed_at = self.lease_renewed_at.max(sent_at);
         let commands = response.commands.iter();
         commands
-            .filter_map(|command| self.execute(command))
+            .filter_map(|command| self.execute(command, jobs))
             .collect()
     }
 }
--- a/crates/worksshunt-simulation/src/invariants/tasks.rs
+++ b/crates/worksshunt-simulation/src/invariants/tasks.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use worksshunt_core::resources::Resources;
 use worksshunt_wire::user::JobSpec;
 use worksshunt_wire::{JobId, MachineId, TaskId};
 
@@ -15,8 +16,8 @@
     pub zone: &'a str,
     /// Whether the machine is a spot instance.
     pub is_spot: bool,
-    /// Free CPUs.
-    pub cpus: f64,
+    /// Free resources.
+    pub resources: Resources,
 }
 
 /// Input of the check for waiting jobs.
@@ -218,8 +219,9 @@
 
 /// Returns whether a task of the job fits on any of the machines.
 fn fits(spec: &JobSpec, free_capacity: &[FreeCapacity]) -> bool {
+    let required = Resources::of_task(spec);
     free_capacity.iter().any(|free| {
-        free.cpus >= spec.cpus
+        free.resources.fits(&required)
             && (spec.allows_spot || !free.is_spot)
             && spec.zone.as_ref().is_none_or(|zone| zone == free.zone)
     })
--- a/crates/worksshunt-simulation/src/lib.rs
+++ b/crates/worksshunt-simulation/src/lib.rs
@@ -31,6 +31,7 @@
 use std::collections::BTreeMap;
 
 use worksshunt_core::machines::DirectCommands;
+use worksshunt_core::resources::Resources;
 use worksshunt_core::time::TokenBucket;
 use worksshunt_wire::settings::Settings;
 use worksshunt_wire::worker::Heartbeat;
@@ -70,6 +71,12 @@
 const HEARTBEAT_TIMEOUT_MS: u64 = 4_000;
 /// CPUs of a machine; equals the catalog's offer.
 const MACHINE_CPUS: f64 = 4.0;
+/// Resources of an empty machine; equal the catalog's offer.
+const MACHINE_CAPACITY: Resources = Resources {
+    cpus: MACHINE_CPUS,
+    gpus: 0.0,
+    memory_gb: 16.0,
+};
 /// Interval between inspections of the whole cluster, ms.
 const INSPECTION_INTERVAL_MS: u64 = 100;
 
--- a/crates/worksshunt-simulation/src/verdict.rs
+++ b/crates/worksshunt-simulation/src/verdict.rs
@@ -3,14 +3,13 @@
 use std::collections::BTreeMap;
 
 use worksshunt_wire::user::{JobKind, JobSpec};
-use worksshunt_wire::worker::TaskState;
 use worksshunt_wire::{JobId, MachineId};
 
 use crate::events::SimulationEvent;
 use crate::invariants::{FreeCapacity, WaitingCheck};
 use crate::task_snapshot::TaskSnapshot;
-use crate::worker::{Task, Worker};
-use crate::{Cluster, Failure, Faults, CONTROLLER_COUNT, INSPECTION_INTERVAL_MS, MACHINE_CPUS};
+use crate::worker::Worker;
+use crate::{Cluster, Failure, Faults, CONTROLLER_COUNT, INSPECTION_INTERVAL_MS};
 
 /// Interval between the checks for jobs that wait despite free capacity, ms.
 const WAITING_CHECK_INTERVAL_MS: u64 = 1_000;
@@ -57,7 +56,7 @@
             .map(|(_, worker)| FreeCapacity {
                 zone: &worker.zone,
                 is_spot: worker.is_spot,
-                cpus: free_cpus(worker, jobs),
+                resources: worker.free(jobs),
             })
             .collect()
     }
@@ -129,12 +128,3 @@
         self.try_check()
     }
 }
-
-/// Returns the free CPUs of a machine.
-fn free_cpus(worker: &Worker, jobs: &BTreeMap<JobId, JobSpec>) -> f64 {
-    let spec = |task: &Task| jobs.get(&task.id.job);
-    let cpus = |task: &Task| spec(task).map_or(1.0, |spec| spec.cpus);
-    let tasks = worker.tasks.values();
-    let active_tasks = tasks.filter(|task| task.state != TaskState::Ended);
-    (MACHINE_CPUS - active_tasks.map(cpus).sum::<f64>()).max(0.0)
-}
--- a/crates/worksshunt-simulation/src/worker.rs
+++ b/crates/worksshunt-simulation/src/worker.rs
@@ -4,13 +4,22 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use worksshunt_core::resources::Resources;
+use worksshunt_wire::user::JobSpec;
 use worksshunt_wire::worker::{Command, ExitReason, Heartbeat, TaskState, TaskStatus};
-use worksshunt_wire::{AttemptId, FencingToken, Incarnation, MachineId, TaskId};
+use worksshunt_wire::{AttemptId, FencingToken, Incarnation, JobId, MachineId, TaskId};
 
-use crate::LEASE_MS;
+use crate::{LEASE_MS, MACHINE_CAPACITY};
 
-/// Maximum number of tasks that a machine runs at the same time.
-const MAX_TASKS_PER_MACHINE: usize = 4;
+/// Resources of a task whose job is unknown.
+const DEFAULT_TASK_RESOURCES: Resources = Resources {
+    cpus: 1.0,
+    gpus: 0.0,
+    memory_gb: 1.0,
+};
+
+/// Specs of all submitted jobs, by which a worker knows what a task needs.
+pub(crate) type JobSpecs = BTreeMap<JobId, JobSpec>;
 
 /// A task on a machine.
 #[derive(Debug, Clone)]
@@ -116,11 +125,21 @@
         }
     }
 
+    /// Resources that its tasks leave free.
+    pub(crate) fn free(&self, jobs: &JobSpecs) -> Resources {
+        let tasks = self.tasks.values();
+        let mut free = MACHINE_CAPACITY;
+        for task in tasks.filter(|task| task.state != TaskState::Ended) {
+            free.allocate(&task_resources(task.id, jobs));
+        }
+        free
+    }
+
     /// Executes a command. Returns the launch of an attempt that had been reaped, which no command should cause.
-    pub(crate) fn execute(&mut self, command: &Command) -> Option<Relaunch> {
+    pub(crate) fn execute(&mut self, command: &Command, jobs: &JobSpecs) -> Option<Relaunch> {
         match command {
             Command::Launch { task, attempt } => {
-                self.launch(*task, *attempt);
+                self.launch(*task, *attempt, jobs);
                 let (task, attempt) = (*task, *attempt);
                 let is_relaunch = self.reaped.remove(&attempt);
                 return is_relaunch.then_some(Relaunch { task, attempt });
@@ -131,11 +150,9 @@
         None
     }
 
-    /// Adds a task; on a full machine it ends at once. A repeated launch of an attempt has no effect.
-    pub(crate) fn launch(&mut self, task: TaskId, attempt: AttemptId) {
-        let tasks = self.tasks.values();
-        let active_tasks = tasks.filter(|task| task.state != TaskState::Ended).count();
-        let is_full = active_tasks >= MAX_TASKS_PER_MACHINE;
+    /// Adds a task; on a machine without room for it, it ends at once. A repeated launch of an attempt has no effect.
+    pub(crate) fn launch(&mut self, task: TaskId, attempt: AttemptId, jobs: &JobSpecs) {
+        let is_full = !self.free(jobs).fits(&task_resources(task, jobs));
         let state = if is_full {
             TaskState::Ended
         } else {
@@ -165,3 +182,8 @@
         }
     }
 }
+
+fn task_resources(task: TaskId, jobs: &JobSpecs) -> Resources {
+    jobs.get(&task.job)
+        .map_or(DEFAULT_TASK_RESOURCES, Resources::of_task)
+}
--- a/crates/worksshunt-simulation/src/workers.rs
+++ b/crates/worksshunt-simulation/src/workers.rs
@@ -220,7 +220,7 @@
         worker.fencing_token = batch.fencing_token;
         let commands = batch.commands.iter();
         let relaunched = commands
-            .filter_map(|command| worker.execute(command))
+            .filter_map(|command| worker.execute(command, &self.invariants.jobs))
             .collect();
         let answer = worker.next_heartbeat(id);
         self.record_relaunches(id, relaunched);
@@ -254,6 +254,6 @@
     /// The machine does not exist.
     pub fn inject_task(&mut self, id: &MachineId, task: TaskId, attempt: u64) {
         let worker = self.workers.get_mut(id).expect("a worker");
-        worker.launch(task, AttemptId(attempt));
+        worker.launch(task, AttemptId(attempt), &self.invariants.jobs);
     }
 }
