Fleet: a log line shows why no machines are provisioned

Change: `provisioning planned` (debug, each second) has the demands and tasks that no machine serves, the processors needed and supplied, and the offers refused. The provision plan is a module of its own. No decision changed.

--- a/crates/worksshunt-core/src/fleet/mod.rs
+++ b/crates/worksshunt-core/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod capacity_supply;
 mod instance_offer;
 mod listing;
+mod provision_plan;
 mod scale_in;
 mod scale_out;
 mod tracked_machine;
@@ -29,7 +30,8 @@
 };
 pub use instance_offer::InstanceOffer;
 use listing::Listings;
-use scale_out::{PendingProvision, ProvisionPlan};
+use provision_plan::ProvisionPlan;
+use scale_out::PendingProvision;
 use tracked_machine::{MachineStage, TrackedMachine};
 
 /// A request to the cloud.
@@ -163,6 +165,9 @@
                 supplied_cpus,
                 unserved,
             };
+            if tracing::enabled!(tracing::Level::DEBUG) {
+                plan.log(self.refused_offers(now));
+            }
             let provisions = self.next_provisions(plan);
             requests.extend(provisions.into_iter().map(CloudRequest::Provision));
         }
--- /dev/null
+++ b/crates/worksshunt-core/src/fleet/provision_plan.rs
@@ -0,0 +1,86 @@
+//! Decides how many machines to provision for a demand, from the present and pending capacity.
+
+use std::collections::BTreeMap;
+
+use worksshunt_wire::cloud::{Catalog, ProvisionRequest};
+
+use crate::scheduler::Demand;
+use crate::time::Time;
+
+use super::capacity_supply::{allows, supply_from_request, unserved_demand};
+use super::scale_out::RankedOffer;
+use super::InstanceOffer;
+
+/// Input for the next provision requests.
+pub(super) struct ProvisionPlan<'a> {
+    pub(super) now: Time,
+    pub(super) catalog: &'a Catalog,
+    /// Processors needed to complete all demand in time.
+    pub(super) cpus_needed: f64,
+    /// Processors of schedulable, booting and requested machines, by offer.
+    pub(super) supplied_cpus: BTreeMap<InstanceOffer, f64>,
+    /// Demand that does not fit the free capacity of those machines.
+    pub(super) unserved: Vec<Demand>,
+}
+
+impl ProvisionPlan<'_> {
+    /// Logs what decides how many machines are provisioned. `refused_offers` is the number of offers that the cloud
+    /// refused recently.
+    pub(super) fn log(&self, refused_offers: usize) {
+        let unserved_tasks: u32 = self
+            .unserved
+            .iter()
+            .map(|demand| demand.tasks_within_limit)
+            .sum();
+        let supplied_cpus = self
+            .supplied_cpus
+            .values()
+            .fold(0.0, |sum, cpus| sum + cpus);
+        tracing::debug!(
+            unserved_demands = self.unserved.len(),
+            unserved_tasks,
+            cpus_needed = self.cpus_needed,
+            supplied_cpus,
+            refused_offers,
+            "provisioning planned"
+        );
+    }
+
+    /// Adds the machines of a request to the supply, as if it were granted in full.
+    pub(super) fn add_request(&mut self, request: &ProvisionRequest) {
+        let mut requested = supply_from_request(request, self.catalog);
+        let cpus: f64 = requested.iter().map(|supply| supply.free.cpus).sum();
+        let offer = InstanceOffer::from(request);
+        *self.supplied_cpus.entry(offer).or_default() += cpus;
+        self.unserved = unserved_demand(&mut requested, &self.unserved);
+    }
+
+    /// Number of machines of the best offer to provision for a demand, in addition to those `selected` for other
+    /// demands.
+    pub(super) fn machines_to_provision(
+        &self,
+        demand: &Demand,
+        best: &RankedOffer,
+        selected: &BTreeMap<InstanceOffer, f64>,
+    ) -> f64 {
+        let machines_for_tasks = f64::from(demand.tasks_within_limit) / best.tasks_per_machine;
+        // A replica cannot wait until a task on a busy machine ends.
+        if demand.job.is_service() {
+            return machines_for_tasks;
+        }
+        let machine_type = self.catalog.machine_type(&best.offer.machine_type);
+        let cpus_per_machine = machine_type.map_or(0.0, |machine_type| machine_type.cpus);
+        // Machines that are lost, unreachable or miss heartbeats are not in the supply.
+        let usable_cpus: f64 = self
+            .supplied_cpus
+            .iter()
+            .filter(|(offer, _)| allows(demand, offer))
+            .map(|(_, cpus)| cpus)
+            .sum();
+        let selected_machines: f64 = selected.values().sum();
+        let missing_machines = ((self.cpus_needed - usable_cpus) / cpus_per_machine.max(1.0)
+            - selected_machines)
+            .max(0.0);
+        machines_for_tasks.min(missing_machines)
+    }
+}
--- a/crates/worksshunt-core/src/fleet/scale_out.rs
+++ b/crates/worksshunt-core/src/fleet/scale_out.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use worksshunt_wire::cloud::{Catalog, MachineIds, MachineType, ProvisionRequest};
+use worksshunt_wire::cloud::{MachineIds, MachineType, ProvisionRequest};
 
 use crate::constants::fleet::{MAX_MACHINES_PER_PROVISION_REQUEST, REFUSED_OFFER_BACKOFF_MS};
 use crate::constants::placement::ROUNDING_TOLERANCE;
@@ -10,7 +10,8 @@
 use crate::scheduler::Demand;
 use crate::time::Time;
 
-use super::capacity_supply::{allows, supply_from_request, tasks_per_machine, unserved_demand};
+use super::capacity_supply::{allows, tasks_per_machine};
+use super::provision_plan::ProvisionPlan;
 use super::{Fleet, InstanceOffer, MachineStage, TrackedMachine};
 
 /// A provision request without a response. It is sent again with the same name until it has one.
@@ -20,67 +21,15 @@
     pub(super) is_in_flight: bool,
 }
 
-/// Input for the next provision requests.
-pub(super) struct ProvisionPlan<'a> {
-    pub(super) now: Time,
-    pub(super) catalog: &'a Catalog,
-    /// Processors needed to complete all demand in time.
-    pub(super) cpus_needed: f64,
-    /// Processors of schedulable, booting and requested machines, by offer.
-    pub(super) supplied_cpus: BTreeMap<InstanceOffer, f64>,
-    /// Demand that does not fit the free capacity of those machines.
-    pub(super) unserved: Vec<Demand>,
-}
-
-impl ProvisionPlan<'_> {
-    /// Adds the machines of a request to the supply, as if it were granted in full.
-    fn add_request(&mut self, request: &ProvisionRequest) {
-        let mut requested = supply_from_request(request, self.catalog);
-        let cpus: f64 = requested.iter().map(|supply| supply.free.cpus).sum();
-        let offer = InstanceOffer::from(request);
-        *self.supplied_cpus.entry(offer).or_default() += cpus;
-        self.unserved = unserved_demand(&mut requested, &self.unserved);
-    }
-
-    /// Number of machines of the best offer to provision for a demand, in addition to those `selected` for other
-    /// demands.
-    fn machines_to_provision(
-        &self,
-        demand: &Demand,
-        best: &RankedOffer,
-        selected: &BTreeMap<InstanceOffer, f64>,
-    ) -> f64 {
-        let machines_for_tasks = f64::from(demand.tasks_within_limit) / best.tasks_per_machine;
-        // A replica cannot wait until a task on a busy machine ends.
-        if demand.job.is_service() {
-            return machines_for_tasks;
-        }
-        let machine_type = self.catalog.machine_type(&best.offer.machine_type);
-        let cpus_per_machine = machine_type.map_or(0.0, |machine_type| machine_type.cpus);
-        // Machines that are lost, unreachable or miss heartbeats are not in the supply.
-        let usable_cpus: f64 = self
-            .supplied_cpus
-            .iter()
-            .filter(|(offer, _)| allows(demand, offer))
-            .map(|(_, cpus)| cpus)
-            .sum();
-        let selected_machines: f64 = selected.values().sum();
-        let missing_machines = ((self.cpus_needed - usable_cpus) / cpus_per_machine.max(1.0)
-            - selected_machines)
-            .max(0.0);
-        machines_for_tasks.min(missing_machines)
-    }
-}
-
 /// An offer that satisfies a demand, with its ranking criteria.
-struct RankedOffer {
-    offer: InstanceOffer,
+pub(super) struct RankedOffer {
+    pub(super) offer: InstanceOffer,
     /// Hourly price of a machine divided by the number of tasks that fit it.
     cost_per_task: f64,
     /// Number of machines in its zone, with requested ones.
     zone_machines: usize,
     /// Number of tasks that fit an empty machine.
-    tasks_per_machine: f64,
+    pub(super) tasks_per_machine: f64,
 }
 
 impl RankedOffer {
@@ -205,6 +154,12 @@
         best
     }
 
+    /// Number of offers that the cloud refused recently.
+    pub(super) fn refused_offers(&self, now: Time) -> usize {
+        let refused = self.refused_until.values();
+        refused.filter(|until| now < **until).count()
+    }
+
     fn is_refused(&self, offer: &InstanceOffer, now: Time) -> bool {
         self.refused_until
             .get(offer)
