Fleet: a job gets a machine whatever its owner's estimate

Cause: `machines_to_provision` requests no more machines than the processors that complete all work in time, which is the estimated work divided by the slack. With an estimate of 0, or tasks of 0 processors, that is 0, also where there is no machine at all. A second limit had the same effect: less than 1e-6 of a machine counted as none, which is one task without resources.

Change: the estimates limit how many machines share the work. If no machine that is up, booting or requested may run a job's tasks, at least one is requested. The tolerance for rounding errors applies to the difference it was meant for.

Why this works: whether there is a machine no longer depends on an amount. Several small jobs share that machine, because a selected one counts.

--- a/crates/worksshunt-core/src/fleet/provision_plan.rs
+++ b/crates/worksshunt-core/src/fleet/provision_plan.rs
@@ -4,6 +4,7 @@
 
 use worksshunt_wire::cloud::{Catalog, ProvisionRequest};
 
+use crate::constants::placement::ROUNDING_TOLERANCE;
 use crate::scheduler::Demand;
 use crate::time::Time;
 
@@ -57,6 +58,9 @@
 
     /// Number of machines of the best offer to provision for a demand, in addition to those `selected` for other
     /// demands.
+    ///
+    /// The users' estimates limit how many machines share the work, but not whether there is one at all: they say
+    /// nothing about a job without an estimate, and are often wrong.
     pub(super) fn machines_to_provision(
         &self,
         demand: &Demand,
@@ -68,6 +72,23 @@
         if demand.job.is_service() {
             return machines_for_tasks;
         }
+        let min_machines = match self.has_usable_machine(demand, selected) {
+            true => 0.0,
+            false => 1.0,
+        };
+        machines_for_tasks
+            .min(self.missing_machines(demand, best, selected))
+            .max(min_machines)
+    }
+
+    /// Number of machines of the best offer that are missing to complete all demand in time, in addition to those
+    /// `selected` for other demands.
+    fn missing_machines(
+        &self,
+        demand: &Demand,
+        best: &RankedOffer,
+        selected: &BTreeMap<InstanceOffer, f64>,
+    ) -> f64 {
         let machine_type = self.catalog.machine_type(&best.offer.machine_type);
         let cpus_per_machine = machine_type.map_or(0.0, |machine_type| machine_type.cpus);
         // Machines that are lost, unreachable or miss heartbeats are not in the supply.
@@ -78,9 +99,22 @@
             .map(|(_, cpus)| cpus)
             .sum();
         let selected_machines: f64 = selected.values().sum();
-        let missing_machines = ((self.cpus_needed - usable_cpus) / cpus_per_machine.max(1.0)
-            - selected_machines)
-            .max(0.0);
-        machines_for_tasks.min(missing_machines)
+        let missing_machines =
+            (self.cpus_needed - usable_cpus) / cpus_per_machine.max(1.0) - selected_machines;
+        if missing_machines > ROUNDING_TOLERANCE {
+            missing_machines
+        } else {
+            0.0
+        }
+    }
+
+    /// Whether there is a machine that can run the demand's tasks once it has room: one that is schedulable, booting,
+    /// requested or selected.
+    fn has_usable_machine(&self, demand: &Demand, selected: &BTreeMap<InstanceOffer, f64>) -> bool {
+        let selected_offers = selected.iter().filter(|(_, count)| **count > 0.0);
+        self.supplied_cpus
+            .keys()
+            .chain(selected_offers.map(|(offer, _)| offer))
+            .any(|offer| allows(demand, offer))
     }
 }
--- a/crates/worksshunt-core/src/fleet/scale_out.rs
+++ b/crates/worksshunt-core/src/fleet/scale_out.rs
@@ -5,7 +5,6 @@
 use worksshunt_wire::cloud::{MachineIds, MachineType, ProvisionRequest};
 
 use crate::constants::fleet::{MAX_MACHINES_PER_PROVISION_REQUEST, REFUSED_OFFER_BACKOFF_MS};
-use crate::constants::placement::ROUNDING_TOLERANCE;
 use crate::resources::Resources;
 use crate::scheduler::Demand;
 use crate::time::Time;
@@ -66,8 +65,8 @@
 
     /// Creates the next provision request, for the offer of which the most machines are missing.
     ///
-    /// Machines are provisioned if the present ones cannot complete the demand within the slack of its tasks, but not
-    /// more than the waiting tasks within their teams' limits can use.
+    /// Machines are provisioned if the present ones cannot complete the demand within the slack of its tasks, or cannot
+    /// run it at all, but not more than the waiting tasks within their teams' limits can use.
     fn next_provision_request(&mut self, plan: &ProvisionPlan) -> Option<ProvisionRequest> {
         let zone_machines = self.machines_by_zone();
         let mut selected: BTreeMap<InstanceOffer, f64> = BTreeMap::new();
@@ -78,7 +77,7 @@
             let count = plan.machines_to_provision(demand, &best, &selected);
             *selected.entry(best.offer).or_default() += count;
         }
-        selected.retain(|_, count| *count > ROUNDING_TOLERANCE);
+        selected.retain(|_, count| *count > 0.0);
         let (offer, count) = selected
             .into_iter()
             .max_by(|(_, a), (_, b)| a.total_cmp(b))?;
--- a/crates/worksshunt-core/src/fleet/tests.rs
+++ b/crates/worksshunt-core/src/fleet/tests.rs
@@ -8,6 +8,8 @@
 use crate::constants::fleet::MIN_PENDING_PROVISION_LIMIT;
 use crate::jobs::Job;
 
+mod provisioning;
+
 fn catalog() -> Catalog {
     serde_json::from_value(serde_json::json!({"Modelos": [
         {"Name": "m4", "Cores": 4, "Gpus": 0, "RamGb": 16, "Rate": 1.0, "LowPrice": 0.4,
--- /dev/null
+++ b/crates/worksshunt-core/src/fleet/tests/provisioning.rs
@@ -0,0 +1,132 @@
+//! Tests of provisioning for jobs with unusual figures: no estimate of the run time, no processors, extreme values.
+
+use serde_json::{json, Value};
+use worksshunt_wire::settings::Team;
+
+use super::*;
+use crate::objectives::ServiceLevelObjectives;
+use crate::quota::Quota;
+use crate::submissions::{check_schedulable, parse_submission};
+
+/// Smallest number that is distinguished from zero in these tests.
+const TINY: f64 = 1e-300;
+/// Smaller than the tolerance for rounding errors.
+const BELOW_TOLERANCE: f64 = 1e-9;
+
+/// The submission of a job with other values of some fields.
+fn submission(fields: &[(&str, Value)]) -> Value {
+    let mut submission = json!({
+        "Ref": "j-000001", "Carril": "c", "Cuadrilla": "t", "Oficio": "array",
+        "Turno": "normal", "Piezas": 1, "Cores": 1.0, "Gpus": 0.0, "RamGb": 1.0,
+        "Molde": "i", "SizeGb": 1.0, "SamePlace": false, "Spread": false, "Prestados": true,
+        "CalculoS": 600.0, "RespaldoS": 0.0, "GuardadoS": 0.0, "EntregaS": null});
+    for (field, value) in fields {
+        submission[field] = value.clone();
+    }
+    submission
+}
+
+/// The demand of a job that is accepted.
+fn demand_with(catalog: &Catalog, fields: &[(&str, Value)]) -> Demand {
+    let team: Team = serde_json::from_value(json!({"name": "t", "cpus": 0.0, "cpus_max": 4_000.0,
+        "gpus": 0.0, "gpus_max": 0.0}))
+    .expect("a team");
+    let spec = parse_submission(submission(fields).to_string().as_bytes()).expect("a valid job");
+    check_schedulable(&spec, catalog, &Quota::new(&[team])).expect("an accepted job");
+    let job = Job {
+        spec,
+        accepted_ms: 1_700_000_000_000,
+    };
+    Demand {
+        slack_s: ServiceLevelObjectives::default().slack_s(&job),
+        tasks_within_limit: job.spec.task_count,
+        waiting_tasks: job.spec.task_count,
+        job: Rc::new(job),
+        running_tasks: 0,
+        running_remaining_s: 0.0,
+        zone: None,
+        full_zones: BTreeSet::new(),
+        is_spot_only: false,
+        is_spot_available: true,
+    }
+}
+
+/// The provision requests for a demand.
+fn provisions(fleet: &mut Fleet, catalog: &Catalog, demand: &[Demand]) -> Vec<ProvisionRequest> {
+    let no_forecast = Forecast::default();
+    let no_machines = std::iter::empty();
+    let requests = fleet.plan_requests(Time(0), catalog, no_machines, demand, &no_forecast);
+    let provisions = requests.into_iter().filter_map(|request| match request {
+        CloudRequest::Provision(provision) => Some(provision),
+        _ => None,
+    });
+    provisions.collect()
+}
+
+/// Total number of machines in the provision requests for a demand.
+fn machines_requested(fleet: &mut Fleet, catalog: &Catalog, demand: &[Demand]) -> u32 {
+    let requests = provisions(fleet, catalog, demand);
+    requests.iter().map(|request| request.machine_count).sum()
+}
+
+// Guards against an accepted job for which no machine is ever provisioned, because a figure of its owner is zero.
+#[test]
+fn a_job_without_an_estimate_gets_a_machine() {
+    let catalog = catalog();
+    for field in ["CalculoS", "Cores", "RamGb"] {
+        let demand = [demand_with(&catalog, &[(field, json!(0.0))])];
+        let machines = machines_requested(&mut fleet(1), &catalog, &demand);
+        assert_eq!(machines, 1, "{field} is 0");
+    }
+}
+
+/// All combinations of the values of some fields.
+fn combinations<'a>(fields: &[(&'a str, Vec<Value>)]) -> Vec<Vec<(&'a str, Value)>> {
+    fields
+        .iter()
+        .fold(vec![Vec::new()], |combinations, (field, values)| {
+            let with = |combination: &Vec<(&'a str, Value)>, value: &Value| {
+                let mut longer = combination.clone();
+                longer.push((*field, value.clone()));
+                longer
+            };
+            combinations
+                .iter()
+                .flat_map(|combination| values.iter().map(move |value| with(combination, value)))
+                .collect()
+        })
+}
+
+// Guards against other figures with which an accepted job gets no machine: tiny and huge ones, in any combination.
+#[test]
+fn every_accepted_job_gets_a_machine() {
+    let catalog = catalog();
+    let amounts =
+        |values: &[f64]| -> Vec<Value> { values.iter().map(|value| json!(value)).collect() };
+    let mut deadlines = amounts(&[0.0, TINY, 900.0, 1e300, f64::MAX]);
+    deadlines.push(Value::Null);
+    let estimates = amounts(&[0.0, TINY, BELOW_TOLERANCE, 0.5, 600.0, 1e300, f64::MAX]);
+    let fields = [
+        ("CalculoS", estimates),
+        (
+            "Cores",
+            amounts(&[0.0, TINY, BELOW_TOLERANCE, 0.1, 1.0, 4.0]),
+        ),
+        ("RamGb", amounts(&[0.0, BELOW_TOLERANCE, 16.0])),
+        ("EntregaS", deadlines),
+        ("Piezas", vec![json!(1), json!(100_000)]),
+    ];
+    for fields in combinations(&fields) {
+        let demand = [demand_with(&catalog, &fields)];
+        let machines = machines_requested(&mut fleet(1), &catalog, &demand);
+        assert!(machines > 0, "no machine for {fields:?}");
+    }
+}
+
+// Guards against one machine for each of several small jobs that fit one together.
+#[test]
+fn small_jobs_without_an_estimate_share_a_machine() {
+    let catalog = catalog();
+    let demand = vec![demand_with(&catalog, &[("CalculoS", json!(0.0))]); 4];
+    assert_eq!(machines_requested(&mut fleet(1), &catalog, &demand), 1);
+}
--- a/crates/worksshunt-core/tests/scenarios/main.rs
+++ b/crates/worksshunt-core/tests/scenarios/main.rs
@@ -16,6 +16,7 @@
 mod repetitions;
 mod service_capacity;
 mod services;
+mod unusual_figures;
 mod upgrade;
 
 use worksshunt_simulation::{long_job, Cluster};
