Fleet: the minimum is no more than the tasks need

Cause: the minimum of one machine also raised shares below one, of several small jobs, so that two machines could be requested where one serves them.

Change: the minimum is one machine, or less if the tasks take less.

--- a/crates/worksshunt-core/src/fleet/provision_plan.rs
+++ b/crates/worksshunt-core/src/fleet/provision_plan.rs
@@ -74,7 +74,7 @@
         }
         let min_machines = match self.has_usable_machine(demand, selected) {
             true => 0.0,
-            false => 1.0,
+            false => machines_for_tasks.min(1.0),
         };
         machines_for_tasks
             .min(self.missing_machines(demand, best, selected))
