Fleet: machines too small for a task don't serve it

Cause: the processors of all machines that a job's constraints allow were counted as usable for it, also of types that its tasks don't fit when they are empty.

Change: only machines of types that fit the job's tasks are counted.

Evidence: the unit test fails before (no request for a task with Gpus 1, RamGb 64 or Cores 16 beside a booting machine of 4 processors) and passes after. Deployments with one machine type are not affected.

--- a/crates/worksshunt-core/src/fleet/provision_plan.rs
+++ b/crates/worksshunt-core/src/fleet/provision_plan.rs
@@ -5,6 +5,7 @@
 use worksshunt_wire::cloud::{Catalog, ProvisionRequest};
 
 use crate::constants::placement::ROUNDING_TOLERANCE;
+use crate::resources::Resources;
 use crate::scheduler::Demand;
 use crate::time::Time;
 
@@ -95,7 +96,7 @@
         let usable_cpus: f64 = self
             .supplied_cpus
             .iter()
-            .filter(|(offer, _)| allows(demand, offer))
+            .filter(|(offer, _)| self.is_usable(demand, offer))
             .map(|(_, cpus)| cpus)
             .sum();
         let selected_machines: f64 = selected.values().sum();
@@ -115,6 +116,13 @@
         self.supplied_cpus
             .keys()
             .chain(selected_offers.map(|(offer, _)| offer))
-            .any(|offer| allows(demand, offer))
+            .any(|offer| self.is_usable(demand, offer))
+    }
+
+    /// Whether the constraints of the demand allow machines of the offer, and its tasks fit an empty one.
+    fn is_usable(&self, demand: &Demand, offer: &InstanceOffer) -> bool {
+        let machine_type = self.catalog.machine_type(&offer.machine_type);
+        let capacity = machine_type.map_or(Resources::default(), Resources::of_machine_type);
+        capacity.fits(&demand.job.resources()) && allows(demand, offer)
     }
 }
--- a/crates/worksshunt-core/src/fleet/tests/provisioning.rs
+++ b/crates/worksshunt-core/src/fleet/tests/provisioning.rs
@@ -69,6 +69,23 @@
     requests.iter().map(|request| request.machine_count).sum()
 }
 
+/// A fleet with one machine of a type with four processors, which is booting.
+fn fleet_with_one_machine() -> Fleet {
+    let mut fleet = fleet(1);
+    fleet.apply_machine_list(Time(0), &listed(ListedState::Starting, 1.0));
+    fleet
+}
+
+/// A catalog with a small machine type, and a larger one with an accelerator.
+fn catalog_of_two_types() -> Catalog {
+    serde_json::from_value(json!({"Modelos": [
+        {"Name": "m4", "Cores": 4, "Gpus": 0, "RamGb": 16, "Rate": 1.0, "LowPrice": 0.4,
+         "ReadyS": 10, "Patios": ["a"]},
+        {"Name": "g16", "Cores": 16, "Gpus": 1, "RamGb": 64, "Rate": 9.0, "LowPrice": 4.0,
+         "ReadyS": 10, "Patios": ["a"]}]}))
+    .expect("catalog")
+}
+
 // Guards against an accepted job for which no machine is ever provisioned, because a figure of its owner is zero.
 #[test]
 fn a_job_without_an_estimate_gets_a_machine() {
@@ -130,3 +147,20 @@
     let demand = vec![demand_with(&catalog, &[("CalculoS", json!(0.0))]); 4];
     assert_eq!(machines_requested(&mut fleet(1), &catalog, &demand), 1);
 }
+
+// Guards against a job that gets no machine while others are up on which its tasks don't fit.
+#[test]
+fn machines_that_are_too_small_for_a_task_are_not_counted() {
+    let catalog = catalog_of_two_types();
+    for (field, amount) in [("Gpus", 1.0), ("RamGb", 64.0), ("Cores", 16.0)] {
+        let mut fleet = fleet_with_one_machine();
+        let small = demand_with(&catalog, &[("Piezas", json!(4)), ("CalculoS", json!(1.0))]);
+        let large = demand_with(
+            &catalog,
+            &[(field, json!(amount)), ("CalculoS", json!(1.0))],
+        );
+        let requests = provisions(&mut fleet, &catalog, &[small, large]);
+        assert_eq!(requests.len(), 1, "{field}: {requests:?}");
+        assert_eq!(requests[0].machine_type, "g16", "{field}");
+    }
+}
