Fleet: estimates don't hold back a job for longer than a slow boot

Cause: the number of machines is limited to the processors that complete the estimated work in time. If the estimates are too low, or processors are not what the machines lack, that limit stays below what is up, and nothing corrects it.

Change: a demand whose next task has fitted no machine for longer than one and a half boot times and the maximum slack (20 s) gets machines for all its tasks, within its team's limit. By then the machines that should have served it would have.

Why this works: the time that a task has waited is measured, not claimed.

--- a/crates/worksshunt-core/src/constants/fleet.rs
+++ b/crates/worksshunt-core/src/constants/fleet.rs
@@ -48,6 +48,9 @@
 /// owner.
 pub const FIRST_HEARTBEAT_TIMEOUT_INTERVALS: f64 = 4.0;
 
+/// Slowest usual boot, in nominal boot times (protocol).
+pub const SLOW_BOOT_FACTOR: f64 = 1.5;
+
 /// Boot timeout in nominal boot times; [`BOOT_TIMEOUT_EXTRA_S`] is added. A machine that is still booting after that
 /// counts as failed.
 pub const BOOT_TIMEOUT_FACTOR: f64 = 3.0;
--- a/crates/worksshunt-core/src/fleet/capacity_supply.rs
+++ b/crates/worksshunt-core/src/fleet/capacity_supply.rs
@@ -150,6 +150,7 @@
         waiting_tasks: tasks,
         running_tasks: 0,
         running_remaining_s: 0.0,
+        unschedulable_ms: 0,
         slack_s: 0.0,
         zone,
         full_zones: BTreeSet::new(),
--- a/crates/worksshunt-core/src/fleet/tests.rs
+++ b/crates/worksshunt-core/src/fleet/tests.rs
@@ -63,6 +63,7 @@
         waiting_tasks: tasks,
         running_tasks: 0,
         running_remaining_s: 0.0,
+        unschedulable_ms: 0,
         slack_s: 20.0,
         zone: None,
         full_zones: BTreeSet::new(),
--- a/crates/worksshunt-core/src/fleet/tests/provisioning.rs
+++ b/crates/worksshunt-core/src/fleet/tests/provisioning.rs
@@ -4,6 +4,7 @@
 use worksshunt_wire::settings::Team;
 
 use super::*;
+use crate::constants::fleet::MAX_SLACK_S;
 use crate::objectives::ServiceLevelObjectives;
 use crate::quota::Quota;
 use crate::submissions::{check_schedulable, parse_submission};
@@ -12,6 +13,8 @@
 const TINY: f64 = 1e-300;
 /// Smaller than the tolerance for rounding errors.
 const BELOW_TOLERANCE: f64 = 1e-9;
+/// Milliseconds for which an overdue task has been unschedulable, whatever its machine type.
+const LONG_MS: u64 = 600_000;
 
 /// The submission of a job with other values of some fields.
 fn submission(fields: &[(&str, Value)]) -> Value {
@@ -44,6 +47,7 @@
         job: Rc::new(job),
         running_tasks: 0,
         running_remaining_s: 0.0,
+        unschedulable_ms: 0,
         zone: None,
         full_zones: BTreeSet::new(),
         is_spot_only: false,
@@ -51,6 +55,14 @@
     }
 }
 
+/// The demand of a job whose task has been unschedulable for [`LONG_MS`].
+fn overdue_demand(catalog: &Catalog, fields: &[(&str, Value)]) -> Demand {
+    Demand {
+        unschedulable_ms: LONG_MS,
+        ..demand_with(catalog, fields)
+    }
+}
+
 /// The provision requests for a demand.
 fn provisions(fleet: &mut Fleet, catalog: &Catalog, demand: &[Demand]) -> Vec<ProvisionRequest> {
     let no_forecast = Forecast::default();
@@ -164,3 +176,67 @@
         assert_eq!(requests[0].machine_type, "g16", "{field}");
     }
 }
+
+/// A demand that fills the machine of [`fleet_with_one_machine`], by its processors or its memory.
+fn demand_that_fills_the_machine(catalog: &Catalog, cpus: f64, memory_gb: f64) -> Demand {
+    let fields = [
+        ("Cores", json!(cpus)),
+        ("RamGb", json!(memory_gb)),
+        ("CalculoS", json!(1.0)),
+    ];
+    demand_with(catalog, &fields)
+}
+
+// Guards against a job that waits without end for a machine whose tasks run much longer than estimated.
+#[test]
+fn a_job_that_waits_too_long_gets_a_machine_whatever_the_estimates() {
+    let catalog = catalog();
+    let fields = [("Piezas", json!(8)), ("CalculoS", json!(1.0))];
+    for (cpus, memory_gb) in [(4.0, 1.0), (0.1, 16.0)] {
+        let busy = demand_that_fills_the_machine(&catalog, cpus, memory_gb);
+        let waiting = [busy.clone(), demand_with(&catalog, &fields)];
+        let machines = machines_requested(&mut fleet_with_one_machine(), &catalog, &waiting);
+        assert_eq!(
+            machines, 0,
+            "the estimates say that the machine is free soon"
+        );
+        let overdue = [busy, overdue_demand(&catalog, &fields)];
+        let machines = machines_requested(&mut fleet_with_one_machine(), &catalog, &overdue);
+        assert_eq!(machines, 2, "machines for all of its tasks");
+    }
+}
+
+// Guards against tasks that need little of a processor and all of the memory, and run one after the other.
+#[test]
+fn overdue_tasks_that_need_much_memory_get_machines_for_all() {
+    let catalog = catalog();
+    let fields = [
+        ("Piezas", json!(10)),
+        ("Cores", json!(0.1)),
+        ("RamGb", json!(16.0)),
+    ];
+    let overdue = [overdue_demand(&catalog, &fields)];
+    let machines = machines_requested(&mut fleet_with_one_machine(), &catalog, &overdue);
+    assert_eq!(
+        machines, 9,
+        "one task on the machine, the others on new ones"
+    );
+}
+
+// Guards against machines that are requested at once for jobs that wait for a machine that is booting.
+#[test]
+fn a_job_is_overdue_after_a_slow_boot_and_its_slack() {
+    let catalog = catalog();
+    let boot_s = catalog.machine_types[0].boot_s;
+    let latest_boot_ms = ((1.5 * boot_s + MAX_SLACK_S) * 1_000.0) as u64;
+    let machines_after = |unschedulable_ms| {
+        let busy = demand_that_fills_the_machine(&catalog, 4.0, 1.0);
+        let waiting = Demand {
+            unschedulable_ms,
+            ..demand_with(&catalog, &[("CalculoS", json!(1.0))])
+        };
+        machines_requested(&mut fleet_with_one_machine(), &catalog, &[busy, waiting])
+    };
+    assert_eq!(machines_after(latest_boot_ms - 1), 0);
+    assert_eq!(machines_after(latest_boot_ms), 1);
+}
--- a/crates/worksshunt-core/src/scheduler/demand.rs
+++ b/crates/worksshunt-core/src/scheduler/demand.rs
@@ -27,6 +27,8 @@
     pub running_tasks: u32,
     /// Sum of the estimated remaining run times of the running tasks, seconds.
     pub running_remaining_s: f64,
+    /// Milliseconds for which its next task has fitted no machine; 0 if it fits one or none waits.
+    pub unschedulable_ms: u64,
     /// Seconds, counted from acceptance, that its tasks may wait.
     pub slack_s: f64,
     /// The zone that its next tasks have to run in; `None` if its other tasks don't determine one.
@@ -111,6 +113,7 @@
                     waiting_tasks,
                     running_tasks: running.tasks,
                     running_remaining_s: running.remaining_s,
+                    unschedulable_ms: job_tasks.unschedulable_ms(now.steady),
                     slack_s: self.objectives.slack_s(job),
                     zone: allowed.and_then(|zones| zones.first().cloned()),
                     full_zones: constraints.map_or(BTreeSet::new(), ZoneConstraints::full_zones),
--- a/crates/worksshunt-core/src/scheduler/job_tasks.rs
+++ b/crates/worksshunt-core/src/scheduler/job_tasks.rs
@@ -129,6 +129,11 @@
         self.unschedulable_since.is_some()
     }
 
+    /// Milliseconds for which its next waiting task has fitted the free resources of no partition; 0 if it fits.
+    pub(super) fn unschedulable_ms(&self, now: Time) -> u64 {
+        self.unschedulable_since.map_or(0, |since| now.since(since))
+    }
+
     /// Index of the first task that is neither completed nor active.
     pub(super) fn next_waiting_task(&mut self) -> Option<u32> {
         while self.waiting_search_start < self.job.spec.task_count {
--- a/crates/worksshunt-core/tests/scenarios/unusual_figures.rs
+++ b/crates/worksshunt-core/tests/scenarios/unusual_figures.rs
@@ -11,6 +11,8 @@
 const MAX_START_MS: u64 = 240_000;
 /// Longest time for which a task may wait beside a machine with room for it, ms.
 const MAX_WAIT_BESIDE_ROOM_MS: u64 = 90_000;
+/// Run time of tasks that don't end during a scenario, ms.
+const ENDLESS_MS: u64 = 3_600_000;
 
 /// Returns a job without an estimate of its run time.
 fn job_without_estimate(id: u64, tasks: u32) -> Value {
@@ -57,3 +59,24 @@
     });
     cluster.check();
 }
+
+// Guards against a job that waits for a machine whose tasks run far longer than their owner's estimate says.
+#[test]
+fn tasks_that_outlast_their_estimates_hold_back_no_other_job() {
+    for estimate_s in [0.0, 1.0] {
+        let mut cluster = ready();
+        cluster.task_run_ms = ENDLESS_MS;
+        let mut endless_job = job(1, 4);
+        endless_job["CalculoS"] = json!(estimate_s);
+        cluster.submit(0, &endless_job);
+        only_machine(&mut cluster, 4);
+        cluster.task_run_ms = 5_000;
+        let mut short_job = job(2, 4);
+        short_job["CalculoS"] = json!(estimate_s);
+        cluster.submit(0, &short_job);
+        cluster.until("the other job", MAX_START_MS, |cluster| {
+            cluster.all_done(2, 4)
+        });
+        cluster.check();
+    }
+}
