Fleet: a job without a deadline doesn't wait for spot machines without end

Cause: such a job waits for a spot machine instead of an on-demand one while spot machines count as available, and one of any type or zone is enough for that. The deadline its owner gives, or not, decides whether there is a machine.

Change: an overdue job (no machine fitted for one and a half boot times and 20 s) may get an on-demand machine, which is still the second choice where spot machines are offered.

Evidence: the unit test fails before (no request) and passes after.

--- a/crates/worksshunt-core/src/fleet/scale_out.rs
+++ b/crates/worksshunt-core/src/fleet/scale_out.rs
@@ -132,7 +132,9 @@
                 continue;
             }
             for (offer, price) in offers_of(machine_type) {
-                let waits_for_spot = !offer.is_spot && should_wait_for_spot(demand, machine_type);
+                let waits_for_spot = !offer.is_spot
+                    && should_wait_for_spot(demand, machine_type)
+                    && !plan.is_overdue(demand, &machine_type.name);
                 if waits_for_spot || self.is_refused(&offer, plan.now) || !allows(demand, &offer) {
                     continue;
                 }
@@ -240,7 +242,8 @@
 }
 
 /// Whether the demand waits for a spot machine of that type instead of using an on-demand one, which costs several times
-/// as much. It doesn't if the job has a deadline or if spot capacity is unavailable.
+/// as much. It doesn't if the job has a deadline or if spot capacity is unavailable. It stops waiting when it is
+/// [overdue](ProvisionPlan::is_overdue): there may be spot machines of other types, or in other zones, only.
 fn should_wait_for_spot(demand: &Demand, machine_type: &MachineType) -> bool {
     demand.job.spec.allows_spot
         && demand.job.spec.deadline_s.is_none()
--- a/crates/worksshunt-core/src/fleet/tests/provisioning.rs
+++ b/crates/worksshunt-core/src/fleet/tests/provisioning.rs
@@ -240,3 +240,18 @@
     assert_eq!(machines_after(latest_boot_ms - 1), 0);
     assert_eq!(machines_after(latest_boot_ms), 1);
 }
+
+// Guards against a job without a deadline that waits without end for a spot machine that the cloud doesn't have.
+#[test]
+fn an_overdue_job_without_a_deadline_gets_an_on_demand_machine() {
+    let catalog = catalog();
+    let mut fleet = fleet(1);
+    let first = provisions(&mut fleet, &catalog, &[demand_with(&catalog, &[])]);
+    assert!(first[0].is_spot, "{first:?}");
+    fleet.apply_provision_refusal(Time(0), &first[0].request_name);
+    let waiting = [demand_with(&catalog, &[])];
+    assert_eq!(provisions(&mut fleet, &catalog, &waiting), vec![]);
+    let overdue = [overdue_demand(&catalog, &[])];
+    let second = provisions(&mut fleet, &catalog, &overdue);
+    assert!(!second[0].is_spot, "{second:?}");
+}
