Submissions: a task that exceeds every machine is refused, however little

Cause: acceptance allowed the tolerance for sums (1e-6) beside a machine's amounts, provisioning computes that no task fits a machine, and a worker refuses it. The same for a single task beside its team's limit.

Change: a single task is compared without tolerance; a sum of replicas keeps it. The answer is the 422 that the protocol has for a task that fits no allowed machine type, or exceeds its team's limit.

Evidence: the unit test fails before (accepted) and passes after; tasks of exactly the machine's amounts are accepted.

--- a/crates/worksshunt-core/src/resources.rs
+++ b/crates/worksshunt-core/src/resources.rs
@@ -45,6 +45,14 @@
             && required.memory_gb <= self.memory_gb + ROUNDING_TOLERANCE
     }
 
+    /// Whether an empty machine of this capacity fits a task that requires `required`. There is no tolerance, because
+    /// no amounts were added up.
+    pub fn fits_when_empty(&self, required: &Resources) -> bool {
+        required.cpus <= self.cpus
+            && required.gpus <= self.gpus
+            && required.memory_gb <= self.memory_gb
+    }
+
     /// Subtracts the resources of a task that is placed from these free resources.
     pub fn allocate(&mut self, allocated: &Resources) {
         *self -= *allocated;
--- a/crates/worksshunt-core/src/submissions.rs
+++ b/crates/worksshunt-core/src/submissions.rs
@@ -148,16 +148,17 @@
         return Err(Unschedulable::UnknownTeam);
     };
     let limits = team.limits();
-    // All replicas of a service run at the same time; tasks of an array can run one after another.
-    let (concurrent_tasks, refusal) = match spec.kind {
-        JobKind::Array => (1.0, Unschedulable::TaskExceedsLimit),
+    // All replicas of a service run at the same time, and their sum may have a rounding error. Tasks of an array can run
+    // one after another.
+    let (concurrent_tasks, tolerance, refusal) = match spec.kind {
+        JobKind::Array => (1.0, 0.0, Unschedulable::TaskExceedsLimit),
         JobKind::Service => (
             f64::from(spec.task_count),
+            ROUNDING_TOLERANCE,
             Unschedulable::ReplicasExceedLimit,
         ),
     };
-    let exceeds =
-        |per_task: f64, limit: f64| per_task * concurrent_tasks > limit + ROUNDING_TOLERANCE;
+    let exceeds = |per_task: f64, limit: f64| per_task * concurrent_tasks > limit + tolerance;
     if exceeds(spec.cpus, limits.cpus) || exceeds(spec.gpus, limits.gpus) {
         return Err(refusal);
     }
@@ -167,7 +168,7 @@
 /// Whether a task that requires these resources could run on an idle machine of this type.
 fn can_run_on(spec: &JobSpec, required: &Resources, machine_type: &MachineType) -> bool {
     let allowed_types = spec.machine_types.as_ref();
-    Resources::of_machine_type(machine_type).fits(required)
+    Resources::of_machine_type(machine_type).fits_when_empty(required)
         && allowed_types.is_none_or(|types| types.contains(&machine_type.name))
         && spec
             .zone
--- a/crates/worksshunt-core/src/submissions/tests.rs
+++ b/crates/worksshunt-core/src/submissions/tests.rs
@@ -95,3 +95,34 @@
         assert_eq!(refusal.to_string(), format!("can never run: {text}"));
     }
 }
+
+/// A machine type with four processors and 0.5 GB, and a team with a limit of 3.5 processors.
+fn deployment() -> (Catalog, Quota) {
+    let catalog = json!({"Modelos": [{"Name": "m4", "Cores": 4, "Gpus": 0, "RamGb": 0.5, "Rate": 1.0,
+        "ReadyS": 10, "Patios": ["a"]}]});
+    let team = json!({"name": "t", "cpus": 0.0, "cpus_max": 3.5, "gpus": 0.0, "gpus_max": 0.0});
+    let team = serde_json::from_value(team).expect("a team");
+    let catalog = serde_json::from_value(catalog).expect("a catalog");
+    (catalog, Quota::new(&[team]))
+}
+
+// Guards against jobs that are accepted because they exceed a machine by less than the tolerance for sums, and for which
+// no machine is provisioned, or on which every worker refuses their tasks.
+#[test]
+fn a_task_that_exceeds_a_machine_or_limit_by_little_is_refused() {
+    let (catalog, quota) = deployment();
+    let refusal = |field: &str, value: f64| {
+        let mut submission = submission_with("RamGb", json!(0.5));
+        submission[field] = json!(value);
+        let spec = parse_submission(submission.to_string().as_bytes()).expect("a job");
+        check_schedulable(&spec, &catalog, &quota).err()
+    };
+    for (field, value) in [("Cores", 3.5), ("RamGb", 0.5), ("Gpus", 0.0)] {
+        assert_eq!(refusal(field, value), None, "{field} {value}");
+    }
+    let too_large = Some(Unschedulable::NoMachineType.into());
+    assert_eq!(refusal("RamGb", 0.500_000_9), too_large);
+    assert_eq!(refusal("Gpus", 1e-9), too_large);
+    let over_limit = Some(Unschedulable::TaskExceedsLimit.into());
+    assert_eq!(refusal("Cores", 3.500_000_9), over_limit);
+}
