Objectives: the latest start of a job does not overflow

Seen by callers: none in the release, where the sum wraps round: a job with a deadline of more than some 1.8e16 s, which the protocol allows, counted as having missed its objectives and came after all others of its priority. In a build with overflow checks the controller panics.

Cause: the deadline is converted to milliseconds, which saturates, and added to the time of acceptance, which does not.

Change: the sum saturates, as the sums of deadlines elsewhere do.

Evidence: the scenario (deadlines and estimates from 0 to the largest number) panics before ("attempt to add with overflow") and passes after.

--- a/crates/worksshunt-core/src/objectives.rs
+++ b/crates/worksshunt-core/src/objectives.rs
@@ -122,7 +122,8 @@
             .latest_starts_s(job)
             .into_iter()
             .max_by(f64::total_cmp)?;
-        Some(job.accepted_ms + (last_s.max(0.0) * MS_PER_S) as u64)
+        let last_ms = (last_s.max(0.0) * MS_PER_S) as u64;
+        Some(job.accepted_ms.saturating_add(last_ms))
     }
 
     /// Seconds from acceptance that the job's tasks may wait without missing any objective ([`DEFAULT_SLACK_S`] without
--- a/crates/worksshunt-core/tests/scenarios/unusual_figures.rs
+++ b/crates/worksshunt-core/tests/scenarios/unusual_figures.rs
@@ -4,7 +4,7 @@
 use serde_json::{json, Value};
 use worksshunt_wire::MachineId;
 
-use crate::ready;
+use crate::{ready, ready_with_boot_time};
 use worksshunt_simulation::{job, Cluster};
 
 /// Time within which a job must have begun, ms.
@@ -80,3 +80,25 @@
         cluster.check();
     }
 }
+
+// Guards against arithmetic that overflows, and jobs that wait, with deadlines and estimates of any size.
+#[test]
+fn jobs_with_extreme_deadlines_and_estimates_are_done() {
+    let mut cluster = ready_with_boot_time(50.0);
+    cluster.boot_ms = 2_000;
+    let amounts = [0.0, 1e-300, 1e300, f64::MAX];
+    let mut jobs = 0;
+    for deadline_s in amounts {
+        for estimate_s in amounts {
+            jobs += 1;
+            let mut job = job(jobs, 2);
+            job["EntregaS"] = json!(deadline_s);
+            job["CalculoS"] = json!(estimate_s);
+            assert_eq!(cluster.submit(0, &job).status, 201);
+        }
+    }
+    cluster.until("all jobs", MAX_START_MS, |cluster| {
+        (1..=jobs).all(|id| cluster.all_done(id, 2))
+    });
+    cluster.check();
+}
