Placement: a task without processors runs beside tasks that use all

Cause: leader and owner of a partition look for room among machines with free processors only.

Change: the leader's order by free processors has all schedulable machines; a search for processors starts behind the full ones. The owner keeps the full machines in an order of their own, which is read for tasks without processors only, so that other placements don't examine them. The order is a module of its own.

The test of the leader's order expected that a machine without free processors is left out of a search for none. It now expects it there, that a search for more leaves it out, and that an unschedulable machine is left out of both.

--- a/crates/worksshunt-core/src/machines/epoch_transition.rs
+++ b/crates/worksshunt-core/src/machines/epoch_transition.rs
@@ -180,7 +180,7 @@
         }
         self.machine_by_attempt.clear();
         self.attempts_by_job.clear();
-        self.machines_with_free_capacity.clear();
+        self.placement_order.clear();
         self.assignment_queue.clear();
         self.machines_with_pending_commands.clear();
         self.machines_with_deferred_commands.clear();
--- a/crates/worksshunt-core/src/machines/mod.rs
+++ b/crates/worksshunt-core/src/machines/mod.rs
@@ -26,6 +26,7 @@
 mod partition;
 mod partition_sync;
 mod pending_updates;
+mod placement_order;
 mod queued_placement;
 mod reachability;
 mod sequence_number;
--- a/crates/worksshunt-core/src/machines/partition.rs
+++ b/crates/worksshunt-core/src/machines/partition.rs
@@ -4,7 +4,6 @@
 //! events are handled in [`attempts`](super::attempts), [`heartbeats`](super::heartbeats),
 //! [`commands`](super::commands), [`expiry`](super::expiry) and the other modules beside it.
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use worksshunt_wire::settings::{KeyValueLimits, Workers};
@@ -15,17 +14,14 @@
 use crate::pages::{max_page_bytes, PageWrite, Pages};
 use crate::placement::{OverCapacityCounts, PlacementParameters, Speed};
 use crate::records::AttemptRecord;
-use crate::resources::Resources;
 use crate::time::Time;
 
 use super::assignment_queue::AssignmentQueue;
 use super::attempt::{AttemptState, TrackedAttempt};
 use super::heartbeat_history::HeartbeatHistory;
-use super::machine::{Machine, MachineSummary, MachineTimeouts};
+use super::machine::{Machine, MachineTimeouts};
 use super::pending_updates::PendingUpdates;
-
-/// Order in which placement tries machines: by descending utilization, then by name.
-type UtilizationRank = (Reverse<u64>, MachineId);
+use super::placement_order::PlacementOrder;
 
 /// The machines of one partition and the attempts on them, as their owner knows them.
 #[derive(Debug)]
@@ -41,8 +37,7 @@
     pub(super) sweep_cursor: Option<MachineId>,
     pub(super) machine_by_attempt: BTreeMap<AttemptId, MachineId>,
     pub(super) attempts_by_job: BTreeMap<JobId, BTreeSet<AttemptId>>,
-    /// Schedulable machines whose latest summary has free processors.
-    pub(super) machines_with_free_capacity: BTreeSet<UtilizationRank>,
+    pub(super) placement_order: PlacementOrder,
     pub(super) heartbeat_history: HeartbeatHistory,
     pub(super) speed_by_machine: BTreeMap<MachineId, Speed>,
     pub(super) assignment_queue: AssignmentQueue,
@@ -72,7 +67,7 @@
             sweep_cursor: None,
             machine_by_attempt: BTreeMap::new(),
             attempts_by_job: BTreeMap::new(),
-            machines_with_free_capacity: BTreeSet::new(),
+            placement_order: PlacementOrder::default(),
             heartbeat_history: HeartbeatHistory::default(),
             speed_by_machine: BTreeMap::new(),
             assignment_queue: AssignmentQueue::default(),
@@ -132,12 +127,7 @@
             return;
         }
         machine.summary = after;
-        let rank_before = utilization_rank(id, machine, &before);
-        let rank_after = utilization_rank(id, machine, &after);
-        self.machines_with_free_capacity.remove(&rank_before);
-        if after.is_schedulable && after.free.cpus > 0.0 {
-            self.machines_with_free_capacity.insert(rank_after);
-        }
+        self.placement_order.update(id, machine, &before, &after);
         if after.is_reported || before.is_reported {
             self.pending_updates.machines.insert(id.clone());
         }
@@ -181,15 +171,3 @@
             .take_summary(&self.placement_parameters)
     }
 }
-
-fn utilization_rank(
-    id: &MachineId,
-    machine: &Machine,
-    summary: &MachineSummary,
-) -> UtilizationRank {
-    // Ranks are integers because floating-point shares are not totally ordered.
-    const RANKS_PER_UNIT: f64 = 1e9;
-    let free: &Resources = &summary.free;
-    let rank = (machine.utilization(free) * RANKS_PER_UNIT) as u64;
-    (Reverse(rank), id.clone())
-}
--- a/crates/worksshunt-core/src/machines/queued_placement.rs
+++ b/crates/worksshunt-core/src/machines/queued_placement.rs
@@ -164,7 +164,7 @@
             .or_else(|| choose_with(FailureFilter::WithFailures))
     }
 
-    /// Machines that fit the task, in the order of `UtilizationRank`.
+    /// Machines that fit the task, the most utilized first.
     fn candidates<'a>(
         &'a self,
         round: &'a PlacementRound,
@@ -173,9 +173,9 @@
         filter: FailureFilter,
     ) -> impl Iterator<Item = Candidate<'a>> + 'a {
         let required_resources = job.resources();
-        self.machines_with_free_capacity
-            .iter()
-            .filter_map(move |(_, id)| {
+        self.placement_order
+            .machines_for(&required_resources)
+            .filter_map(move |id| {
                 let machine = self.machines.get(id)?;
                 let info = machine.info.as_ref()?;
                 let is_permitted = match &assignment.claimed_machine {
--- a/crates/worksshunt-core/src/scheduler/partition_view.rs
+++ b/crates/worksshunt-core/src/scheduler/partition_view.rs
@@ -80,7 +80,7 @@
     /// When the last message from the owner was received.
     last_message_at: Time,
     pub machines: BTreeMap<MachineId, MachineView>,
-    /// Machines with free processors, those with the fewest first.
+    /// Schedulable machines, those with the fewest free processors first.
     machines_by_free_cpus: BTreeSet<(FreeCpus, MachineId)>,
     /// Unacknowledged directives, each with the sequence number of the last message that contained it; `None` before
     /// it is sent. Each directive is queued once, even if the owner repeats the status that caused it.
@@ -212,7 +212,7 @@
         }
     }
 
-    /// Machines with at least `cpus` free processors, those with the fewest first.
+    /// Schedulable machines with at least `cpus` free processors, those with the fewest first.
     pub fn machines_with_free_cpus(&self, cpus: f64) -> impl Iterator<Item = &MachineView> {
         let lower_bound = (
             FreeCpus::of(cpus - ROUNDING_TOLERANCE),
@@ -230,18 +230,21 @@
         let Some(view) = self.machines.get_mut(id) else {
             return;
         };
-        let free_before = FreeCpus::of(view.free.cpus);
+        let before = free_cpus_if_schedulable(view);
         change(view);
-        let free_after = FreeCpus::of(view.free.cpus);
-        let has_free_cpus = view.free.cpus > ROUNDING_TOLERANCE;
-        if free_before != free_after {
-            self.machines_by_free_cpus
-                .remove(&(free_before, id.clone()));
+        let after = free_cpus_if_schedulable(view);
+        if before != after {
+            self.reorder(id, before, after);
         }
-        if has_free_cpus {
-            self.machines_by_free_cpus.insert((free_after, id.clone()));
-        } else {
-            self.machines_by_free_cpus.remove(&(free_after, id.clone()));
+    }
+
+    /// Moves a machine in the order by free processors. `None` stands for a machine that is not in it.
+    fn reorder(&mut self, id: &MachineId, before: Option<FreeCpus>, after: Option<FreeCpus>) {
+        if let Some(before) = before {
+            self.machines_by_free_cpus.remove(&(before, id.clone()));
+        }
+        if let Some(after) = after {
+            self.machines_by_free_cpus.insert((after, id.clone()));
         }
     }
 
@@ -251,21 +254,27 @@
         if !self.machines.contains_key(&id) {
             // The owner has dropped the earlier directives for this machine.
             self.last_machine_directives = None;
+            let view = MachineView::new(status.clone());
+            self.reorder(&id, None, free_cpus_if_schedulable(&view));
+            self.machines.insert(id.clone(), view);
         }
-        self.machines
-            .entry(id.clone())
-            .or_insert_with(|| MachineView::new(status.clone()));
         self.update_view(&id, |view| view.update(status, now));
     }
 
     /// Removes a machine that no longer belongs to the partition.
     pub fn remove_machine(&mut self, id: &MachineId) {
         if let Some(view) = self.machines.remove(id) {
-            let free = FreeCpus::of(view.free.cpus);
-            self.machines_by_free_cpus.remove(&(free, id.clone()));
+            self.reorder(id, free_cpus_if_schedulable(&view), None);
         }
     }
 }
 
+/// Sort key of a machine in the order by free processors; `None` if it is not schedulable.
+fn free_cpus_if_schedulable(view: &MachineView) -> Option<FreeCpus> {
+    view.status
+        .is_schedulable
+        .then(|| FreeCpus::of(view.free.cpus))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/worksshunt-core/src/scheduler/partition_view/tests.rs
+++ b/crates/worksshunt-core/src/scheduler/partition_view/tests.rs
@@ -31,11 +31,20 @@
             .map(|view| view.free.cpus)
             .collect()
     };
-    assert_eq!(free(&partition, 0.0), [0.5, 1.5, 2.0, 4.0]);
+    assert_eq!(free(&partition, 0.0), [0.0, 0.5, 1.5, 2.0, 4.0]);
     assert_eq!(free(&partition, 1.5), [1.5, 2.0, 4.0]);
     partition.update_machine(machine(0, 1.0), Time(1));
     partition.update_machine(machine(2, 0.0), Time(1));
-    assert_eq!(free(&partition, 0.0), [0.5, 1.0, 2.0]);
+    assert_eq!(free(&partition, 0.0), [0.0, 0.0, 0.5, 1.0, 2.0]);
+    assert_eq!(free(&partition, 0.5), [0.5, 1.0, 2.0]);
     partition.remove_machine(&MachineId("i-000003".into()));
-    assert_eq!(free(&partition, 0.0), [0.5, 1.0]);
+    assert_eq!(free(&partition, 0.0), [0.0, 0.0, 0.5, 1.0]);
+    let unschedulable = MachineStatus {
+        is_schedulable: false,
+        ..machine(1, 0.0)
+    };
+    partition.update_machine(unschedulable, Time(2));
+    assert_eq!(free(&partition, 0.0), [0.0, 0.5, 1.0]);
+    partition.update_machine(machine(1, 3.0), Time(3));
+    assert_eq!(free(&partition, 0.0), [0.0, 0.5, 1.0, 3.0]);
 }
--- a/crates/worksshunt-core/tests/scenarios/unusual_figures.rs
+++ b/crates/worksshunt-core/tests/scenarios/unusual_figures.rs
@@ -4,7 +4,7 @@
 use serde_json::{json, Value};
 use worksshunt_wire::MachineId;
 
-use crate::{ready, ready_with_boot_time};
+use crate::{long_job, ready, ready_with_boot_time};
 use worksshunt_simulation::{job, Cluster};
 
 /// Time within which a job must have begun, ms.
@@ -102,3 +102,21 @@
     });
     cluster.check();
 }
+
+// Guards against a task without processors that waits beside a machine with all processors in use.
+#[test]
+fn a_task_without_processors_runs_beside_tasks_that_use_all() {
+    let mut cluster = ready();
+    cluster.capacity = 1;
+    cluster.task_run_ms = ENDLESS_MS;
+    cluster.submit(0, &long_job(1, 4));
+    only_machine(&mut cluster, 4);
+    cluster.task_run_ms = 5_000;
+    let mut job_without_cpus = job(2, 3);
+    job_without_cpus["Cores"] = json!(0.0);
+    cluster.submit(0, &job_without_cpus);
+    cluster.until("the other job", MAX_WAIT_BESIDE_ROOM_MS, |cluster| {
+        cluster.all_done(2, 3)
+    });
+    cluster.check();
+}
