Scheduler: a dispatched task without processors reserves its machine

Cause: a machine counted as having dispatched tasks if processors were reserved on it, so a task of 0 processors did not keep an idle machine from being released.

Change: the dispatched tasks are counted.

--- a/crates/worksshunt-core/src/scheduler/machine_view.rs
+++ b/crates/worksshunt-core/src/scheduler/machine_view.rs
@@ -2,7 +2,6 @@
 
 use worksshunt_wire::peer::MachineStatus;
 
-use crate::constants::placement::ROUNDING_TOLERANCE;
 use crate::resources::Resources;
 use crate::time::Time;
 
@@ -15,7 +14,9 @@
     pub idle_since: Option<Time>,
     /// Since when it is unschedulable; `None` while it is schedulable.
     pub unschedulable_since: Option<Time>,
-    /// Resources of the dispatched tasks that are not placed yet.
+    /// Number of the dispatched tasks that are not placed yet.
+    reserved_tasks: u32,
+    /// Resources of those tasks.
     reserved: Resources,
     /// Free resources without the reserved ones; zero while it is unschedulable.
     pub free: Resources,
@@ -24,7 +25,7 @@
 impl MachineView {
     /// Whether resources are reserved on it for dispatched tasks.
     pub fn has_reservations(&self) -> bool {
-        self.reserved.cpus > ROUNDING_TOLERANCE
+        self.reserved_tasks > 0
     }
 
     /// A machine without reservations. The caller applies `status` with [`update`](Self::update).
@@ -33,6 +34,7 @@
             status,
             idle_since: None,
             unschedulable_since: None,
+            reserved_tasks: 0,
             reserved: Resources::default(),
             free: Resources::default(),
         }
@@ -51,12 +53,14 @@
 
     /// Reserves the resources that a dispatched task needs.
     pub(super) fn reserve(&mut self, required: &Resources) {
+        self.reserved_tasks += 1;
         self.reserved += *required;
         self.recompute_free();
     }
 
     /// Releases the reservation for a task.
     pub(super) fn release_reservation(&mut self, required: &Resources) {
+        self.reserved_tasks = self.reserved_tasks.saturating_sub(1);
         self.reserved -= *required;
         self.recompute_free();
     }
--- a/crates/worksshunt-core/src/scheduler/partition_view/tests.rs
+++ b/crates/worksshunt-core/src/scheduler/partition_view/tests.rs
@@ -48,3 +48,28 @@
     partition.update_machine(machine(1, 3.0), Time(3));
     assert_eq!(free(&partition, 0.0), [0.0, 0.5, 1.0, 3.0]);
 }
+
+// Guards against the release of a machine to which a task without processors was dispatched.
+#[test]
+fn a_dispatched_task_without_resources_reserves_its_machine() {
+    let spec = serde_json::from_value(serde_json::json!({
+        "Ref": "j-000001", "Carril": "c", "Cuadrilla": "t", "Oficio": "array", "Turno": "normal",
+        "Piezas": 2, "Cores": 0.0, "Gpus": 0.0, "RamGb": 0.0, "Molde": "i", "SizeGb": 1.0,
+        "SamePlace": false, "Spread": false, "Prestados": true, "CalculoS": 0.0, "RespaldoS": 0.0,
+        "GuardadoS": 0.0}))
+    .expect("a job");
+    let job = Job {
+        spec,
+        accepted_ms: 0,
+    };
+    let mut partition = PartitionView::default();
+    partition.update_machine(machine(0, 4.0), Time(0));
+    let id = machine(0, 4.0).id;
+    let has_reservations = |partition: &PartitionView| partition.machines[&id].has_reservations();
+    partition.reserve(&id, &job);
+    partition.reserve(&id, &job);
+    partition.release_reservation(Some(&id), &job);
+    assert!(has_reservations(&partition));
+    partition.release_reservation(Some(&id), &job);
+    assert!(!has_reservations(&partition));
+}
