Claims: all resources of a task decide whether it needs a claim

Cause: a machine was claimed only if its free processors, or those of the smallest task there, are fewer than the task needs. A task that needs much memory and few processors never met that, and the smaller tasks always took the memory.

Change: the comparison covers every resource, each by itself as before.

--- a/crates/worksshunt-core/src/resources.rs
+++ b/crates/worksshunt-core/src/resources.rs
@@ -4,6 +4,7 @@
 use std::ops::{AddAssign, SubAssign};
 
 use worksshunt_wire::cloud::MachineType;
+use worksshunt_wire::peer::MachineStatus;
 use worksshunt_wire::user::JobSpec;
 
 use crate::constants::placement::ROUNDING_TOLERANCE;
@@ -29,6 +30,15 @@
         }
     }
 
+    /// Free resources that a machine's owner reports.
+    pub fn free_on(status: &MachineStatus) -> Resources {
+        Resources {
+            cpus: status.free_cpus,
+            gpus: status.free_gpus,
+            memory_gb: status.free_memory_gb,
+        }
+    }
+
     /// Resources that one task of the job requires.
     pub fn of_task(spec: &JobSpec) -> Resources {
         Resources {
@@ -53,6 +63,24 @@
             && required.memory_gb <= self.memory_gb
     }
 
+    /// The larger amount of each resource.
+    pub fn max(&self, other: &Resources) -> Resources {
+        self.combine(other, f64::max)
+    }
+
+    /// The smaller amount of each resource.
+    pub fn min(&self, other: &Resources) -> Resources {
+        self.combine(other, f64::min)
+    }
+
+    fn combine(&self, other: &Resources, choose: impl Fn(f64, f64) -> f64) -> Resources {
+        Resources {
+            cpus: choose(self.cpus, other.cpus),
+            gpus: choose(self.gpus, other.gpus),
+            memory_gb: choose(self.memory_gb, other.memory_gb),
+        }
+    }
+
     /// Subtracts the resources of a task that is placed from these free resources.
     pub fn allocate(&mut self, allocated: &Resources) {
         *self -= *allocated;
--- a/crates/worksshunt-core/src/scheduler/claims.rs
+++ b/crates/worksshunt-core/src/scheduler/claims.rs
@@ -12,6 +12,7 @@
 
 use crate::constants::scheduling::{CLAIM_AFTER_MS, CLAIM_MACHINE_DIVISOR, MIN_CLAIMS};
 use crate::jobs::Job;
+use crate::resources::Resources;
 use crate::time::Time;
 
 use super::{PendingWrite, Scheduler};
@@ -37,9 +38,9 @@
 /// A machine that may be claimed.
 struct ClaimCandidate<'a> {
     machine: &'a MachineStatus,
-    /// Processors that a task can get there without a claim: those that are free, or those of the smallest task there
-    /// if it has more.
-    cpus_without_claim: f64,
+    /// Resources that a task can get there without a claim: of each, the free amount, or that of the smallest task
+    /// there if it has more.
+    available_without_claim: Resources,
 }
 
 impl Scheduler {
@@ -82,11 +83,11 @@
         unschedulable_jobs: &[Rc<Job>],
         mut remaining_claims: usize,
     ) -> BTreeMap<MachineId, JobId> {
-        let max_task_cpus = unschedulable_jobs
+        let max_required = unschedulable_jobs
             .iter()
-            .map(|job| job.spec.cpus)
-            .fold(0.0, f64::max);
-        let candidates = self.claim_candidates(max_task_cpus);
+            .map(|job| job.resources())
+            .fold(Resources::default(), |max, required| max.max(&required));
+        let candidates = self.claim_candidates(&max_required);
         let mut chosen: BTreeMap<MachineId, JobId> = BTreeMap::new();
         for job in unschedulable_jobs {
             if remaining_claims == 0 {
@@ -95,9 +96,10 @@
             let id = job.spec.id;
             let max_machines = self.additional_claims(job).min(remaining_claims);
             let zones = self.allowed_zones(job);
+            let required = job.resources();
             let is_useful = |candidate: &&ClaimCandidate| {
                 let machine = candidate.machine;
-                candidate.cpus_without_claim < job.spec.cpus
+                !candidate.available_without_claim.fits(&required)
                     && !chosen.contains_key(&machine.id)
                     && job.allows_machine(&machine.machine_type, &machine.zone, machine.is_spot)
                     && zones
@@ -124,23 +126,24 @@
         (waiting_tasks.min(admitted_tasks) as usize).saturating_sub(claimed_machines)
     }
 
-    /// Machines that may be claimed for a task of at most `max_task_cpus` processors, those with most free processors
-    /// first. Excludes machines where the task fits already, or will when the smallest task there ends: it needs no
-    /// claim there. The two are not added up, because smaller tasks would take the free processors first.
-    fn claim_candidates(&self, max_task_cpus: f64) -> Vec<ClaimCandidate<'_>> {
-        let smallest_task_cpus = self.smallest_task_cpus();
+    /// Machines that may be claimed for a task that requires at most `max_required` of each resource, those with most
+    /// free processors first. Excludes machines where the task fits already, or will when the smallest task there ends:
+    /// it needs no claim there. The two are not added up, because smaller tasks would take the free resources first.
+    fn claim_candidates(&self, max_required: &Resources) -> Vec<ClaimCandidate<'_>> {
+        let smallest_tasks = self.smallest_tasks();
         let mut candidates: Vec<ClaimCandidate> = self
             .machines()
             .map(|view| &view.status)
             .filter(|machine| self.is_claimable(machine))
             .map(|machine| {
-                let smallest_task = smallest_task_cpus.get(&machine.id).copied();
+                let smallest_task = smallest_tasks.get(&machine.id).copied();
                 ClaimCandidate {
                     machine,
-                    cpus_without_claim: machine.free_cpus.max(smallest_task.unwrap_or(0.0)),
+                    available_without_claim: Resources::free_on(machine)
+                        .max(&smallest_task.unwrap_or_default()),
                 }
             })
-            .filter(|candidate| candidate.cpus_without_claim < max_task_cpus)
+            .filter(|candidate| !candidate.available_without_claim.fits(max_required))
             .collect();
         candidates.sort_by(|a, b| {
             let (a, b) = (a.machine, b.machine);
@@ -155,14 +158,15 @@
             && !self.claims.contains_key(&machine.id)
     }
 
-    /// Processors of the smallest task on each machine, for machines with tasks.
-    fn smallest_task_cpus(&self) -> BTreeMap<&MachineId, f64> {
-        let mut smallest: BTreeMap<&MachineId, f64> = BTreeMap::new();
+    /// The smallest amount of each resource that a task on the machine has, for machines with tasks.
+    fn smallest_tasks(&self) -> BTreeMap<&MachineId, Resources> {
+        let mut smallest: BTreeMap<&MachineId, Resources> = BTreeMap::new();
         let attempts = self.active_attempts.values();
         for active in attempts.filter(|attempt| !attempt.is_completed()) {
             if let (Some(machine), Some(job)) = (&active.machine, &active.job) {
-                let cpus = smallest.entry(machine).or_insert(f64::MAX);
-                *cpus = cpus.min(job.spec.cpus);
+                let required = job.resources();
+                let amounts = smallest.entry(machine).or_insert(required);
+                *amounts = amounts.min(&required);
             }
         }
         smallest
--- a/crates/worksshunt-core/src/scheduler/machine_view.rs
+++ b/crates/worksshunt-core/src/scheduler/machine_view.rs
@@ -68,11 +68,7 @@
     fn recompute_free(&mut self) {
         self.free = Resources::default();
         if self.status.is_schedulable {
-            self.free = Resources {
-                cpus: self.status.free_cpus,
-                gpus: self.status.free_gpus,
-                memory_gb: self.status.free_memory_gb,
-            };
+            self.free = Resources::free_on(&self.status);
             self.free.allocate(&self.reserved);
         }
     }
--- a/crates/worksshunt-core/tests/scenarios/unusual_figures.rs
+++ b/crates/worksshunt-core/tests/scenarios/unusual_figures.rs
@@ -120,3 +120,26 @@
     });
     cluster.check();
 }
+
+// Guards against starvation of a task that needs little of a processor and all memory, by a stream of smaller ones.
+#[test]
+fn a_task_with_all_memory_gets_a_machine_by_a_claim() {
+    let mut cluster = ready();
+    cluster.capacity = 2;
+    cluster.task_run_ms = 3_000;
+    cluster.run_spread_ms = 400;
+    cluster.submit(0, &job(1, 2_000));
+    cluster.until("a full fleet", 40_000, |cluster| {
+        cluster.running().len() == 8
+    });
+    let mut job_with_all_memory = job(2, 1);
+    job_with_all_memory["Cores"] = json!(0.5);
+    job_with_all_memory["RamGb"] = json!(16.0);
+    cluster.submit(0, &job_with_all_memory);
+    cluster.until("the task", MAX_START_MS, |cluster| cluster.all_done(2, 1));
+    assert!(
+        !cluster.all_done(1, 2_000),
+        "smaller tasks were still waiting"
+    );
+    cluster.check();
+}
