Preemption: a job that has waited long may preempt whatever its deadline

Cause: others are preempted only within the 10 s before a latest start, which is the deadline less the estimate. A job that missed these 10 s, or whose owner's figures put them before its submission or far ahead, preempts nothing, however long it waits.

Change: after 100 s without a machine, others are preempted for one task of the job, by the same rules of whom a task may stop. One task at a time, since no objective is at risk.

Evidence: the scenario (five deadlines, three estimates) fails before and passes after; the task starts after some 103 s.

--- a/crates/worksshunt-core/src/constants/scheduling.rs
+++ b/crates/worksshunt-core/src/constants/scheduling.rs
@@ -30,6 +30,11 @@
 /// busy fleet a task ends every second or so, and waiting for that costs nothing.
 pub const PREEMPT_AFTER_MS: u64 = 3_000;
 
+/// Milliseconds that a task waits without free capacity in any partition before others are preempted for one task of
+/// its job although no objective is at risk: with an image fetch, less than half of the four minutes within which every
+/// job must begin.
+pub const PREEMPT_WITHOUT_RISK_AFTER_MS: u64 = 100_000;
+
 /// Seconds before the latest start that meets an objective from which the objective counts as at risk, so that other
 /// tasks are preempted: enough for a stop, an image fetch and two heartbeats.
 pub const OBJECTIVE_AT_RISK_S: f64 = 10.0;
--- a/crates/worksshunt-core/src/scheduler/preempt.rs
+++ b/crates/worksshunt-core/src/scheduler/preempt.rs
@@ -8,7 +8,7 @@
 
 use worksshunt_wire::AttemptId;
 
-use crate::constants::scheduling::PREEMPT_AFTER_MS;
+use crate::constants::scheduling::{PREEMPT_AFTER_MS, PREEMPT_WITHOUT_RISK_AFTER_MS};
 use crate::jobs::Job;
 use crate::quota::Quota;
 use crate::time::{Budget, Now};
@@ -24,6 +24,8 @@
     rank: Rank,
     job: Rc<Job>,
     waiting_tasks: u32,
+    /// Whether it has been unschedulable for [`PREEMPT_WITHOUT_RISK_AFTER_MS`].
+    is_overdue: bool,
 }
 
 /// The attempts chosen so far, with machines and quotas as they will be once those are stopped and the waiting tasks
@@ -84,6 +86,7 @@
                 rank: tasks.rank(now.wall_ms),
                 job: Rc::clone(&tasks.job),
                 waiting_tasks: tasks.waiting_tasks(),
+                is_overdue: is_overdue(tasks, now),
             })
             .collect();
         unschedulable.sort_by_key(|job| job.rank);
@@ -91,8 +94,9 @@
     }
 
     /// Whether others may be preempted for the job: it has been unschedulable for [`PREEMPT_AFTER_MS`] (services: for
-    /// any time), its team's limit admits one more task, and waiting puts an objective at risk. False for jobs whose
-    /// tasks have to run in one zone, and for others with a zone constraint that are not services.
+    /// any time), its team's limit admits one more task, and waiting puts an objective at risk or has lasted for
+    /// [`PREEMPT_WITHOUT_RISK_AFTER_MS`]. False for jobs whose tasks have to run in one zone, and for others with a zone
+    /// constraint that are not services.
     fn may_preempt_for(&self, job_tasks: &JobTasks, now: Now) -> bool {
         let job = &job_tasks.job;
         let is_service = job.is_service();
@@ -101,7 +105,8 @@
             && (is_service || !job.has_zone_constraint())
             && !job.spec.needs_single_zone
             && self.quota.admits_one_more(job)
-            && self.is_objective_at_risk(job, now, self.quota.guarantees_one_more(job))
+            && (is_overdue(job_tasks, now)
+                || self.is_objective_at_risk(job, now, self.quota.guarantees_one_more(job)))
     }
 
     fn is_objective_at_risk(&self, job: &Job, now: Now, is_guaranteed: bool) -> bool {
@@ -120,18 +125,21 @@
             chosen: Vec::new(),
         };
         for UnschedulableJob {
-            job, waiting_tasks, ..
+            job,
+            waiting_tasks,
+            is_overdue,
+            ..
         } in unschedulable
         {
             let mut zones = self.remaining_tasks_by_zone(job);
-            for _ in 0..*waiting_tasks {
+            for task in 0..*waiting_tasks {
                 if budget.is_exhausted() {
                     return selection.chosen;
                 }
                 let is_guaranteed = selection.quota.guarantees_one_more(job);
-                if !selection.quota.admits_one_more(job)
-                    || !self.is_objective_at_risk(job, now, is_guaranteed)
-                {
+                let is_due = (*is_overdue && task == 0)
+                    || self.is_objective_at_risk(job, now, is_guaranteed);
+                if !selection.quota.admits_one_more(job) || !is_due {
                     break;
                 }
                 let preemptor = Preemptor {
@@ -153,3 +161,8 @@
         selection.chosen
     }
 }
+
+/// Whether the job's next task has been unschedulable for [`PREEMPT_WITHOUT_RISK_AFTER_MS`].
+fn is_overdue(job_tasks: &JobTasks, now: Now) -> bool {
+    job_tasks.unschedulable_ms(now.steady) >= PREEMPT_WITHOUT_RISK_AFTER_MS
+}
--- a/crates/worksshunt-core/tests/scenarios/unusual_figures.rs
+++ b/crates/worksshunt-core/tests/scenarios/unusual_figures.rs
@@ -2,7 +2,7 @@
 //! deadlines. Whatever its owner says, an accepted job runs.
 
 use serde_json::{json, Value};
-use worksshunt_wire::MachineId;
+use worksshunt_wire::{JobId, MachineId};
 
 use crate::{long_job, ready, ready_with_boot_time};
 use worksshunt_simulation::{job, Cluster};
@@ -143,3 +143,37 @@
     );
     cluster.check();
 }
+
+// Guards against a job within its team's guarantee for which nothing is preempted, since its deadline is past or far.
+#[test]
+fn a_job_within_its_guarantee_begins_whatever_its_deadline() {
+    let deadlines = [
+        json!(null),
+        json!(0.0),
+        json!(5.0),
+        json!(900.0),
+        json!(1e300),
+    ];
+    for deadline_s in deadlines {
+        for estimate_s in [0.0, 10.0, 1e300] {
+            let mut cluster = ready();
+            cluster.capacity = 1;
+            cluster.task_run_ms = ENDLESS_MS;
+            let mut borrowing_job = long_job(1, 4);
+            borrowing_job["Cuadrilla"] = json!("white");
+            borrowing_job["Turno"] = json!("low");
+            cluster.submit(0, &borrowing_job);
+            only_machine(&mut cluster, 4);
+            let mut guaranteed_job = job(2, 2);
+            guaranteed_job["EntregaS"] = deadline_s.clone();
+            guaranteed_job["CalculoS"] = json!(estimate_s);
+            cluster.submit(0, &guaranteed_job);
+            let description = format!("a task, deadline {deadline_s}, estimate {estimate_s}");
+            cluster.until(&description, MAX_START_MS, |cluster| {
+                let mut starts = cluster.task_starts.iter();
+                starts.any(|start| start.task.job == JobId(2))
+            });
+            cluster.check();
+        }
+    }
+}
