Scheduler: a starved job without a machine keeps no quota from its team

Cause: a starved job reserves quota, so that smaller tasks of its team don't always take what becomes free. It does so too when quota is not what it lacks: the sum of amounts its owner named decides whether others get a machine that is free.

Change: a starved job whose task has fitted no machine for 60 s reserves nothing.

--- a/crates/worksshunt-core/src/constants/scheduling.rs
+++ b/crates/worksshunt-core/src/constants/scheduling.rs
@@ -16,6 +16,10 @@
 /// not to reverse the scheduling order, and enough to complete the job eventually.
 pub const STARVED_TASK_DIVISOR: u32 = 8;
 
+/// Milliseconds for which a starved job without a machine keeps quota from other jobs of its team: two thirds of the
+/// 90 s that one of these may wait beside a machine with room.
+pub const MAX_RESERVATION_WITHOUT_MACHINE_MS: u64 = 60_000;
+
 /// Milliseconds that a task waits without free capacity in any partition before the leader claims a machine for it.
 pub const CLAIM_AFTER_MS: u64 = 3_000;
 
--- a/crates/worksshunt-core/src/scheduler/dispatch.rs
+++ b/crates/worksshunt-core/src/scheduler/dispatch.rs
@@ -6,7 +6,7 @@
 
 use worksshunt_wire::{JobId, TaskId};
 
-use crate::constants::scheduling::STARVED_TASK_DIVISOR;
+use crate::constants::scheduling::{MAX_RESERVATION_WITHOUT_MACHINE_MS, STARVED_TASK_DIVISOR};
 use crate::jobs::Job;
 use crate::time::{Now, Time};
 
@@ -51,7 +51,10 @@
                 self.dispatch_task(now, &job, target);
             }
             if targets_found < batch_size {
-                self.mark_unschedulable(now.steady, &job);
+                let unschedulable_ms = self.mark_unschedulable(now.steady, &job);
+                if has_reservation && unschedulable_ms >= MAX_RESERVATION_WITHOUT_MACHINE_MS {
+                    self.quota.cancel_reservation(&job);
+                }
                 return;
             }
             remaining_tasks -= targets_found;
@@ -72,14 +75,15 @@
         }
     }
 
-    /// Records that no machine fits the job's next task.
-    fn mark_unschedulable(&mut self, now: Time, job: &Job) {
+    /// Records that no machine fits the job's next task. Returns for how long that has been so, milliseconds.
+    fn mark_unschedulable(&mut self, now: Time, job: &Job) -> u64 {
         let Some(job_tasks) = self.open_jobs.get_mut(&job.spec.id) else {
-            return;
+            return 0;
         };
         self.services.has_unschedulable_replica |=
             job.is_service() && !job_tasks.is_unschedulable();
         job_tasks.unschedulable_since.get_or_insert(now);
+        job_tasks.unschedulable_ms(now)
     }
 
     fn dispatch_task(&mut self, now: Now, job: &Job, target: PlacementTarget) {
--- a/crates/worksshunt-core/tests/scenarios/unusual_figures.rs
+++ b/crates/worksshunt-core/tests/scenarios/unusual_figures.rs
@@ -177,3 +177,35 @@
         }
     }
 }
+
+// Guards against a job that waits beside room because a starved job of its team, which no machine can take, keeps the
+// quota.
+#[test]
+fn a_starved_job_without_a_machine_keeps_no_quota_from_others() {
+    let mut cluster = ready();
+    cluster.capacity = 1;
+    cluster.task_run_ms = ENDLESS_MS;
+    cluster.create_machine("a", true, 0);
+    cluster.run(4_000);
+    let mut endless_job = long_job(1, 1);
+    endless_job["Patio"] = json!("a");
+    cluster.submit(0, &endless_job);
+    only_machine(&mut cluster, 1);
+    // Two jobs that together need all of their team's limit, in a zone for which the cloud has no machines.
+    for id in [2, 3] {
+        let mut starved_job = job(id, 1);
+        starved_job["Cuadrilla"] = json!("red");
+        starved_job["Cores"] = json!(4.0);
+        starved_job["Patio"] = json!("b");
+        cluster.submit(0, &starved_job);
+    }
+    cluster.run(120_000);
+    cluster.task_run_ms = 5_000;
+    let mut small_job = job(4, 3);
+    small_job["Cuadrilla"] = json!("red");
+    cluster.submit(0, &small_job);
+    cluster.until("the small job", MAX_WAIT_BESIDE_ROOM_MS, |cluster| {
+        cluster.all_done(4, 3)
+    });
+    cluster.check();
+}
