Fleet: a job without a deadline waits up to 120 s for a spot machine

Change: a limit of its own for the wait, 120 s: half of the four minutes within which every job must begin.

--- a/crates/worksshunt-core/src/constants/fleet.rs
+++ b/crates/worksshunt-core/src/constants/fleet.rs
@@ -34,6 +34,10 @@
 /// Maximum slack of a task, seconds, however long it may wait.
 pub const MAX_SLACK_S: f64 = 20.0;
 
+/// Milliseconds that a task waits for a spot machine at most, if an on-demand one can be had: half of the four minutes
+/// within which every job must begin.
+pub const MAX_SPOT_WAIT_MS: u64 = 120_000;
+
 /// Milliseconds before an offer that the cloud refused is requested again.
 pub const REFUSED_OFFER_BACKOFF_MS: u64 = 15_000;
 
--- a/crates/worksshunt-core/src/fleet/provision_plan.rs
+++ b/crates/worksshunt-core/src/fleet/provision_plan.rs
@@ -129,7 +129,7 @@
     }
     /// Whether the demand's tasks have fitted no machine for longer than the slowest usual boot of the machine type and
     /// the maximum slack. If the estimates were right, present and requested machines would have served them by then.
-    pub(super) fn is_overdue(&self, demand: &Demand, machine_type: &str) -> bool {
+    fn is_overdue(&self, demand: &Demand, machine_type: &str) -> bool {
         let machine_type = self.catalog.machine_type(machine_type);
         let boot_s = machine_type.map_or(0.0, |machine_type| machine_type.boot_s);
         let limit_s = boot_s * SLOW_BOOT_FACTOR + MAX_SLACK_S;
--- a/crates/worksshunt-core/src/fleet/scale_out.rs
+++ b/crates/worksshunt-core/src/fleet/scale_out.rs
@@ -4,7 +4,9 @@
 
 use worksshunt_wire::cloud::{MachineIds, MachineType, ProvisionRequest};
 
-use crate::constants::fleet::{MAX_MACHINES_PER_PROVISION_REQUEST, REFUSED_OFFER_BACKOFF_MS};
+use crate::constants::fleet::{
+    MAX_MACHINES_PER_PROVISION_REQUEST, MAX_SPOT_WAIT_MS, REFUSED_OFFER_BACKOFF_MS,
+};
 use crate::resources::Resources;
 use crate::scheduler::Demand;
 use crate::time::Time;
@@ -132,9 +134,7 @@
                 continue;
             }
             for (offer, price) in offers_of(machine_type) {
-                let waits_for_spot = !offer.is_spot
-                    && should_wait_for_spot(demand, machine_type)
-                    && !plan.is_overdue(demand, &machine_type.name);
+                let waits_for_spot = !offer.is_spot && should_wait_for_spot(demand, machine_type);
                 if waits_for_spot || self.is_refused(&offer, plan.now) || !allows(demand, &offer) {
                     continue;
                 }
@@ -242,11 +242,12 @@
 }
 
 /// Whether the demand waits for a spot machine of that type instead of using an on-demand one, which costs several times
-/// as much. It doesn't if the job has a deadline or if spot capacity is unavailable. It stops waiting when it is
-/// [overdue](ProvisionPlan::is_overdue): there may be spot machines of other types, or in other zones, only.
+/// as much. It doesn't if the job has a deadline, if spot capacity is unavailable, or after [`MAX_SPOT_WAIT_MS`]: there
+/// may be spot machines of other types, or in other zones, only.
 fn should_wait_for_spot(demand: &Demand, machine_type: &MachineType) -> bool {
     demand.job.spec.allows_spot
         && demand.job.spec.deadline_s.is_none()
         && demand.is_spot_available
+        && demand.unschedulable_ms < MAX_SPOT_WAIT_MS
         && machine_type.spot_price.is_some()
 }
