--- a/crates/worksshunt-core/src/fleet/provision_plan.rs
+++ b/crates/worksshunt-core/src/fleet/provision_plan.rs
@@ -127,6 +127,7 @@
         let capacity = machine_type.map_or(Resources::default(), Resources::of_machine_type);
         capacity.fits(&demand.job.resources()) && allows(demand, offer)
     }
+
     /// Whether the demand's tasks have fitted no machine for longer than the slowest usual boot of the machine type and
     /// the maximum slack. If the estimates were right, present and requested machines would have served them by then.
     fn is_overdue(&self, demand: &Demand, machine_type: &str) -> bool {
--- a/crates/worksshunt-core/src/fleet/tests.rs
+++ b/crates/worksshunt-core/src/fleet/tests.rs
@@ -2,24 +2,29 @@
 
 use std::rc::Rc;
 
+use serde_json::{json, Value};
 use worksshunt_wire::cloud::{ListedMachine, ListedState, MachineList};
+use worksshunt_wire::settings::Team;
 
 use super::*;
 use crate::constants::fleet::MIN_PENDING_PROVISION_LIMIT;
 use crate::jobs::Job;
+use crate::objectives::ServiceLevelObjectives;
+use crate::quota::Quota;
+use crate::submissions::{check_schedulable, parse_submission};
 
 mod provisioning;
 
 fn catalog() -> Catalog {
-    serde_json::from_value(serde_json::json!({"Modelos": [
+    serde_json::from_value(json!({"Modelos": [
         {"Name": "m4", "Cores": 4, "Gpus": 0, "RamGb": 16, "Rate": 1.0, "LowPrice": 0.4,
          "ReadyS": 10, "Patios": ["a"]}]}))
     .expect("catalog")
 }
 
 fn fleet(epoch: u64) -> Fleet {
-    let cloud = serde_json::json!({"rps": 5.0, "list_lag_s": 5.0});
-    let workers = serde_json::json!({"report_s": 2.5, "lease_s": 16.0, "cancel_s": 30.0});
+    let cloud = json!({"rps": 5.0, "list_lag_s": 5.0});
+    let workers = json!({"report_s": 2.5, "lease_s": 16.0, "cancel_s": 30.0});
     let cloud = serde_json::from_value(cloud).expect("limits");
     let workers = serde_json::from_value(workers).expect("workers");
     Fleet::new(
@@ -47,29 +52,49 @@
     }]
 }
 
-fn demand(tasks: u32, deadline_s: Option<f64>) -> Vec<Demand> {
-    let spec = serde_json::from_value(serde_json::json!({
+/// The submission of a job with other values of some fields.
+fn submission(fields: &[(&str, Value)]) -> Value {
+    let mut submission = json!({
         "Ref": "j-000001", "Carril": "c", "Cuadrilla": "t", "Oficio": "array",
-        "Turno": "normal", "Piezas": tasks, "Cores": 1.0, "Gpus": 0.0, "RamGb": 1.0,
+        "Turno": "normal", "Piezas": 1, "Cores": 1.0, "Gpus": 0.0, "RamGb": 1.0,
         "Molde": "i", "SizeGb": 1.0, "SamePlace": false, "Spread": false, "Prestados": true,
-        "CalculoS": 600.0, "RespaldoS": 0.0, "GuardadoS": 0.0, "EntregaS": deadline_s}))
-    .expect("a job");
-    vec![Demand {
-        job: Rc::new(Job {
-            spec,
-            accepted_ms: 0,
-        }),
-        tasks_within_limit: tasks,
-        waiting_tasks: tasks,
+        "CalculoS": 600.0, "RespaldoS": 0.0, "GuardadoS": 0.0, "EntregaS": null});
+    for (field, value) in fields {
+        submission[field] = value.clone();
+    }
+    submission
+}
+
+/// The demand of a job that is accepted.
+fn demand_with(catalog: &Catalog, fields: &[(&str, Value)]) -> Demand {
+    let team: Team = serde_json::from_value(json!({"name": "t", "cpus": 0.0, "cpus_max": 4_000.0,
+        "gpus": 0.0, "gpus_max": 0.0}))
+    .expect("a team");
+    let spec = parse_submission(submission(fields).to_string().as_bytes()).expect("a valid job");
+    check_schedulable(&spec, catalog, &Quota::new(&[team])).expect("an accepted job");
+    let job = Job {
+        spec,
+        accepted_ms: 1_700_000_000_000,
+    };
+    Demand {
+        slack_s: ServiceLevelObjectives::default().slack_s(&job),
+        tasks_within_limit: job.spec.task_count,
+        waiting_tasks: job.spec.task_count,
+        job: Rc::new(job),
         running_tasks: 0,
         running_remaining_s: 0.0,
         unschedulable_ms: 0,
-        slack_s: 20.0,
         zone: None,
         full_zones: BTreeSet::new(),
         is_spot_only: false,
         is_spot_available: true,
-    }]
+    }
+}
+
+/// The demand of one job with an estimate of 600 s.
+fn demand(tasks: u32, deadline_s: Option<f64>) -> Vec<Demand> {
+    let fields = [("Piezas", json!(tasks)), ("EntregaS", json!(deadline_s))];
+    vec![demand_with(&catalog(), &fields)]
 }
 
 fn plan(fleet: &mut Fleet, now: u64, demand: &[Demand]) -> Vec<CloudRequest> {
--- a/crates/worksshunt-core/src/fleet/tests/provisioning.rs
+++ b/crates/worksshunt-core/src/fleet/tests/provisioning.rs
@@ -1,13 +1,9 @@
 //! Tests of provisioning for jobs with unusual figures: no estimate of the run time, no processors, extreme values.
 
 use serde_json::{json, Value};
-use worksshunt_wire::settings::Team;
 
 use super::*;
 use crate::constants::fleet::{MAX_SLACK_S, MAX_SPOT_WAIT_MS};
-use crate::objectives::ServiceLevelObjectives;
-use crate::quota::Quota;
-use crate::submissions::{check_schedulable, parse_submission};
 
 /// Smallest number that is distinguished from zero in these tests.
 const TINY: f64 = 1e-300;
@@ -16,45 +12,6 @@
 /// Milliseconds for which an overdue task has been unschedulable, whatever its machine type.
 const LONG_MS: u64 = 600_000;
 
-/// The submission of a job with other values of some fields.
-fn submission(fields: &[(&str, Value)]) -> Value {
-    let mut submission = json!({
-        "Ref": "j-000001", "Carril": "c", "Cuadrilla": "t", "Oficio": "array",
-        "Turno": "normal", "Piezas": 1, "Cores": 1.0, "Gpus": 0.0, "RamGb": 1.0,
-        "Molde": "i", "SizeGb": 1.0, "SamePlace": false, "Spread": false, "Prestados": true,
-        "CalculoS": 600.0, "RespaldoS": 0.0, "GuardadoS": 0.0, "EntregaS": null});
-    for (field, value) in fields {
-        submission[field] = value.clone();
-    }
-    submission
-}
-
-/// The demand of a job that is accepted.
-fn demand_with(catalog: &Catalog, fields: &[(&str, Value)]) -> Demand {
-    let team: Team = serde_json::from_value(json!({"name": "t", "cpus": 0.0, "cpus_max": 4_000.0,
-        "gpus": 0.0, "gpus_max": 0.0}))
-    .expect("a team");
-    let spec = parse_submission(submission(fields).to_string().as_bytes()).expect("a valid job");
-    check_schedulable(&spec, catalog, &Quota::new(&[team])).expect("an accepted job");
-    let job = Job {
-        spec,
-        accepted_ms: 1_700_000_000_000,
-    };
-    Demand {
-        slack_s: ServiceLevelObjectives::default().slack_s(&job),
-        tasks_within_limit: job.spec.task_count,
-        waiting_tasks: job.spec.task_count,
-        job: Rc::new(job),
-        running_tasks: 0,
-        running_remaining_s: 0.0,
-        unschedulable_ms: 0,
-        zone: None,
-        full_zones: BTreeSet::new(),
-        is_spot_only: false,
-        is_spot_available: true,
-    }
-}
-
 /// The demand of a job whose task has been unschedulable for [`LONG_MS`].
 fn overdue_demand(catalog: &Catalog, fields: &[(&str, Value)]) -> Demand {
     Demand {
--- a/crates/worksshunt-core/tests/scenarios/claims.rs
+++ b/crates/worksshunt-core/tests/scenarios/claims.rs
@@ -141,3 +141,21 @@
         0
     );
 }
+
+// Guards against a claim that keeps a machine's room from other jobs while its own job waits for a task to end there.
+#[test]
+fn a_claimed_machine_with_room_keeps_no_other_job_waiting() {
+    let mut cluster = ready();
+    cluster.capacity = 1;
+    cluster.task_run_ms = 3_600_000;
+    cluster.submit(0, &job(1, 2));
+    cluster.until("a machine with room", 60_000, |cluster| {
+        cluster.running().len() == 2
+    });
+    cluster.submit(0, &wide_job(2));
+    cluster.run(20_000);
+    cluster.task_run_ms = 5_000;
+    cluster.submit(0, &job(3, 1));
+    cluster.until("the other job", 90_000, |cluster| cluster.all_done(3, 1));
+    cluster.check();
+}
