Fleet, resources: one lookup of the machine type, one comparison of amounts

Found in a last reading: an offer's machine type was looked up again by name for its processors and its boot time, with 0 for one that is missing; `fits_when_empty` repeated `fits` without its tolerance.

Change: a ranked offer has its machine type, and both comparisons share one. No behaviour changed.

--- a/crates/worksshunt-core/src/fleet/provision_plan.rs
+++ b/crates/worksshunt-core/src/fleet/provision_plan.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use worksshunt_wire::cloud::{Catalog, ProvisionRequest};
+use worksshunt_wire::cloud::{Catalog, MachineType, ProvisionRequest};
 
 use crate::constants::fleet::{MAX_SLACK_S, SLOW_BOOT_FACTOR};
 use crate::constants::placement::ROUNDING_TOLERANCE;
@@ -62,7 +62,7 @@
     /// demands.
     ///
     /// The users' estimates limit how many machines share the work, but not whether there is one at all: they say
-    /// nothing about a job without an estimate, and are often wrong. They don't apply to [overdue](Self::is_overdue)
+    /// nothing about a job without an estimate, and are often wrong. They don't apply to [overdue](is_overdue)
     /// demand.
     pub(super) fn machines_to_provision(
         &self,
@@ -72,7 +72,7 @@
     ) -> f64 {
         let machines_for_tasks = f64::from(demand.tasks_within_limit) / best.tasks_per_machine;
         // A replica cannot wait until a task on a busy machine ends.
-        if demand.job.is_service() || self.is_overdue(demand, &best.offer.machine_type) {
+        if demand.job.is_service() || is_overdue(demand, best.machine_type) {
             return machines_for_tasks;
         }
         let min_machines = match self.has_usable_machine(demand, selected) {
@@ -92,8 +92,6 @@
         best: &RankedOffer,
         selected: &BTreeMap<InstanceOffer, f64>,
     ) -> f64 {
-        let machine_type = self.catalog.machine_type(&best.offer.machine_type);
-        let cpus_per_machine = machine_type.map_or(0.0, |machine_type| machine_type.cpus);
         // Machines that are lost, unreachable or miss heartbeats are not in the supply.
         let usable_cpus: f64 = self
             .supplied_cpus
@@ -103,7 +101,7 @@
             .sum();
         let selected_machines: f64 = selected.values().sum();
         let missing_machines =
-            (self.cpus_needed - usable_cpus) / cpus_per_machine.max(1.0) - selected_machines;
+            (self.cpus_needed - usable_cpus) / best.machine_type.cpus.max(1.0) - selected_machines;
         if missing_machines > ROUNDING_TOLERANCE {
             missing_machines
         } else {
@@ -127,13 +125,11 @@
         let capacity = machine_type.map_or(Resources::default(), Resources::of_machine_type);
         capacity.fits(&demand.job.resources()) && allows(demand, offer)
     }
+}
 
-    /// Whether the demand's tasks have fitted no machine for longer than the slowest usual boot of the machine type and
-    /// the maximum slack. If the estimates were right, present and requested machines would have served them by then.
-    fn is_overdue(&self, demand: &Demand, machine_type: &str) -> bool {
-        let machine_type = self.catalog.machine_type(machine_type);
-        let boot_s = machine_type.map_or(0.0, |machine_type| machine_type.boot_s);
-        let limit_s = boot_s * SLOW_BOOT_FACTOR + MAX_SLACK_S;
-        demand.unschedulable_ms >= (limit_s * 1_000.0) as u64
-    }
+/// Whether the demand's tasks have fitted no machine for longer than the slowest usual boot of the machine type and the
+/// maximum slack. If the estimates were right, present and requested machines would have served them by then.
+fn is_overdue(demand: &Demand, machine_type: &MachineType) -> bool {
+    let limit_s = machine_type.boot_s * SLOW_BOOT_FACTOR + MAX_SLACK_S;
+    demand.unschedulable_ms >= (limit_s * 1_000.0) as u64
 }
--- a/crates/worksshunt-core/src/fleet/scale_out.rs
+++ b/crates/worksshunt-core/src/fleet/scale_out.rs
@@ -23,8 +23,9 @@
 }
 
 /// An offer that satisfies a demand, with its ranking criteria.
-pub(super) struct RankedOffer {
+pub(super) struct RankedOffer<'a> {
     pub(super) offer: InstanceOffer,
+    pub(super) machine_type: &'a MachineType,
     /// Hourly price of a machine divided by the number of tasks that fit it.
     cost_per_task: f64,
     /// Number of machines in its zone, with requested ones.
@@ -33,7 +34,7 @@
     pub(super) tasks_per_machine: f64,
 }
 
-impl RankedOffer {
+impl RankedOffer<'_> {
     /// Whether it costs less per task or, at the same cost, is in a zone with fewer machines.
     fn is_better_than(&self, other: &RankedOffer) -> bool {
         (self.cost_per_task, self.zone_machines) < (other.cost_per_task, other.zone_machines)
@@ -119,12 +120,12 @@
     }
 
     /// The best offer for a task of the demand, without offers that the cloud refused recently.
-    fn best_offer(
+    fn best_offer<'a>(
         &self,
-        plan: &ProvisionPlan,
+        plan: &ProvisionPlan<'a>,
         demand: &Demand,
         zone_machines: &BTreeMap<&str, usize>,
-    ) -> Option<RankedOffer> {
+    ) -> Option<RankedOffer<'a>> {
         let task_resources = demand.job.resources();
         let mut best: Option<RankedOffer> = None;
         for machine_type in &plan.catalog.machine_types {
@@ -142,6 +143,7 @@
                     cost_per_task: price / tasks_per_machine,
                     zone_machines: zone_machines.get(offer.zone.as_str()).copied().unwrap_or(0),
                     offer,
+                    machine_type,
                     tasks_per_machine,
                 };
                 if best
--- a/crates/worksshunt-core/src/resources.rs
+++ b/crates/worksshunt-core/src/resources.rs
@@ -50,17 +50,19 @@
 
     /// Whether a task that requires `required` fits into these free resources.
     pub fn fits(&self, required: &Resources) -> bool {
-        required.cpus <= self.cpus + ROUNDING_TOLERANCE
-            && required.gpus <= self.gpus + ROUNDING_TOLERANCE
-            && required.memory_gb <= self.memory_gb + ROUNDING_TOLERANCE
+        self.fits_within(required, ROUNDING_TOLERANCE)
     }
 
     /// Whether an empty machine of this capacity fits a task that requires `required`. There is no tolerance, because
     /// no amounts were added up.
     pub fn fits_when_empty(&self, required: &Resources) -> bool {
-        required.cpus <= self.cpus
-            && required.gpus <= self.gpus
-            && required.memory_gb <= self.memory_gb
+        self.fits_within(required, 0.0)
+    }
+
+    fn fits_within(&self, required: &Resources, tolerance: f64) -> bool {
+        required.cpus <= self.cpus + tolerance
+            && required.gpus <= self.gpus + tolerance
+            && required.memory_gb <= self.memory_gb + tolerance
     }
 
     /// The larger amount of each resource.
